--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
 VENV ?= .venv
 PYTHON ?= python3
 BIN := $(VENV)/bin
-SOURCES := packages tests tools
-export PYTHONPATH := $(CURDIR)/packages/core/src:$(CURDIR)/packages/daemon/src:$(CURDIR)/packages/cli/src:$(CURDIR)/packages/standins/src:$(CURDIR)/tools
+SOURCES := packages platform tests tools
+export PYTHONPATH := $(CURDIR)/packages/core/src:$(CURDIR)/packages/daemon/src:$(CURDIR)/packages/cli/src:$(CURDIR)/packages/standins/src:$(CURDIR)/tools:$(CURDIR)/platform/src
 
 .PHONY: help env install format lint test slopes quickstart measure clean
 
--- a/packages/core/src/tanagerreach_core/_messages.py
+++ b/packages/core/src/tanagerreach_core/_messages.py
@@ -10,6 +10,15 @@
 
 import msgspec
 
+from ._placement_messages import (
+    Heartbeat,
+    PlacementAsk,
+    PlacementEnd,
+    PlacementReply,
+    QuotaAsk,
+    QuotaReply,
+    Received,
+)
 from ._slots import SlotSet
 
 
@@ -255,6 +264,13 @@
     | ClaimRequest
     | ClaimReply
     | SuspectNotice
+    | PlacementAsk
+    | PlacementReply
+    | PlacementEnd
+    | QuotaAsk
+    | QuotaReply
+    | Received
+    | Heartbeat
 )
 
 
--- a/packages/core/src/tanagerreach_core/_objects.py
+++ b/packages/core/src/tanagerreach_core/_objects.py
@@ -67,7 +67,9 @@
 
 
 class Workspace(ConfigObject, tag="workspace", kw_only=True):
-    """A customer account."""
+    """A customer account; a ``priority`` goes before that of the routes it uses, 0 is highest."""
+
+    priority: int | None = None
 
 
 class ApiKey(ConfigObject, tag="key", kw_only=True):
@@ -102,13 +104,15 @@
 class Service(ConfigObject, tag="service", kw_only=True):
     """A group of targets that answer the same requests.
 
-    ``data_centres`` selects the data centres whose targets may get new work.
+    ``data_centres`` selects the data centres whose targets may get new work. A cold target bears
+    ``cold_rate_per_s`` requests per second, 0 when only its concurrency is bounded.
     """
 
     targets: tuple[Target, ...] = ()
     floor: int = 1
     slots_per_target: int = 4
     cold_concurrency: int = 1
+    cold_rate_per_s: float = 0.0
     timeout_s: float = DEFAULT_SERVICE_TIMEOUT_S
     data_centres: str = DEFAULT_DATA_CENTRES
 
@@ -128,7 +132,10 @@
     ``service`` is a service's name, or a selector that picks one service. ``workspaces`` selects
     who may use the route, and ``open`` admits requests without a key. Empty ``methods`` means
     all methods. ``None`` in ``timeout_s`` means the service's timeout, in ``max_body_bytes`` the
-    daemon's limit, and in ``idempotent`` that the method decides.
+    daemon's limit, and in ``idempotent`` that the method decides. ``split`` gives the weights of
+    several services among which requests are distributed; ``service`` is then the first of them.
+    An answer within ``latency_objective_s`` has its full value. ``priority`` is the rank while
+    requests wait, 0 is the highest; ``max_tries`` bounds the targets of one request.
     """
 
     service: str
@@ -140,6 +147,10 @@
     idempotent: bool | None = None
     timeout_s: float | None = None
     max_body_bytes: int | None = None
+    split: dict[str, float] = {}
+    latency_objective_s: float | None = None
+    priority: int = 0
+    max_tries: int | None = None
 
 
 class Limit(ConfigObject, tag="limit", kw_only=True):
--- /dev/null
+++ b/packages/core/src/tanagerreach_core/_placement.py
@@ -0,0 +1,367 @@
+"""Decides at a service's home which target takes which request, who waits and who is refused.
+
+Load pattern: a service's targets are nearly all busy, some of them fail most of what they get, and
+requests that must not be repeated make up the load. One home sees all requests of the service,
+hence all targets' free slots and latest outcomes. It keeps no target busier than its slots, sends
+a request where a success was seen last, lets it wait for a sound target while its latency
+objective allows that, and refuses at once what would not be answered in time.
+"""
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from ._crash_streaks import CrashStreaks
+from ._outcomes import NOT_STARTED, Outcome
+from ._placement_messages import PlacementAsk, PlacementReply, PlacementState, RefusalCause
+from ._repeat_budget import RepeatBudget
+from ._target_belief import TargetBelief
+from ._waiting_line import WaitingLine, WaitingRequest
+
+MS_PER_S = 1000.0
+FIRST_SERVICE_TIME_S = 0.2
+SERVICE_TIME_WEIGHT = 0.05
+# Share of a cold target's announced rate that is used, since its own window may lie elsewhere.
+COLD_RATE_SHARE = 0.8
+COLD_CONCURRENCY = 2
+COLD_WINDOW_S = 1.0
+# A request in flight for this many times the usual latency speaks against its target.
+OVERDUE_RATIO = 4.0
+OVERDUE_MIN_S = 0.5
+OVERDUE_DOUBT = 0.5
+# How doubtful a target a request takes at once; the bound rises to 1 while the request waits.
+DOUBT_AT_ONCE = 0.3
+# Weights of what makes one target less preferable than another, against the probability that it
+# fails the request.
+LOAD_WEIGHT = 0.15
+DISTANCE_WEIGHT = 0.03
+LATENCY_WEIGHT = 0.05
+# A target answers nearly all requests within this many times its usual latency.
+PATIENCE_RATIO = 6.0
+PATIENCE_MIN_S = 0.4
+# A place is given up this long after its request's deadline when no end was reported.
+LOST_END_GRACE_S = 0.5
+SHED_PAUSE_S = 0.25
+RETRY_AFTER_MIN_S = 0.2
+FINISHED_KEPT = 512
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class PlacementTarget:
+    """A target that may take requests.
+
+    :param slot_count: requests that it runs at the same time.
+    :param cold_until_s: time until which it is cold, 0 when it is warm.
+    :param cold_rate_per_s: requests per second that it bears while it is cold.
+    """
+
+    name: str
+    address: str
+    data_centre: str
+    slot_count: int
+    cold_until_s: float = 0.0
+    cold_rate_per_s: float = 0.0
+
+
+@dataclass(slots=True, kw_only=True)
+class PlacementEvent:
+    """A changed belief about a target, for the log."""
+
+    target: str
+    outcome: Outcome
+    failing_before: float
+    failing_after: float
+
+
+@dataclass(slots=True)
+class _Placed:
+    request: WaitingRequest
+    target: str
+    started_s: float
+
+
+@dataclass(slots=True, kw_only=True)
+class _TargetState:
+    spec: PlacementTarget
+    belief: TargetBelief
+    in_flight: dict[tuple[str, int], _Placed] = field(default_factory=dict)
+    recent_starts: deque[float] = field(default_factory=deque)
+    shed_until_s: float = 0.0
+
+
+Decision = tuple[WaitingRequest, PlacementReply]
+
+
+class ServicePlacement:
+    """Targets and waiting requests of one service at its home.
+
+    :param repeats: the service's budget of repeated requests.
+    """
+
+    __slots__ = (
+        "_crashes",
+        "_finished",
+        "_line",
+        "_placed",
+        "_repeats",
+        "_targets",
+        "service_time_s",
+    )
+
+    def __init__(self, *, repeats: RepeatBudget) -> None:
+        self._repeats = repeats
+        self._crashes = CrashStreaks()
+        self._line = WaitingLine()
+        self._targets: dict[str, _TargetState] = {}
+        self._placed: dict[tuple[str, int], _Placed] = {}
+        # Answers to questions that may be asked again, as a datagram was lost.
+        self._finished: dict[tuple[str, int], PlacementReply] = {}
+        self.service_time_s = FIRST_SERVICE_TIME_S
+
+    def __len__(self) -> int:
+        return len(self._line)
+
+    @property
+    def in_flight_count(self) -> int:
+        """Requests that have a place."""
+        return len(self._placed)
+
+    def configure(self, targets: Iterable[PlacementTarget], now_s: float) -> None:
+        """Set the targets that may take new requests."""
+        wanted = {target.name: target for target in targets}
+        for name, spec in wanted.items():
+            known = self._targets.get(name)
+            if known is None or known.spec.address != spec.address:
+                self._targets[name] = _TargetState(spec=spec, belief=TargetBelief(now_s=now_s))
+            else:
+                known.spec = spec
+        for name in set(self._targets) - set(wanted):
+            del self._targets[name]
+
+    def ask(self, key: tuple[str, int], ask: PlacementAsk, now_s: float) -> PlacementReply:
+        """Give a request a place, let it wait, or refuse it."""
+        known = self._known_answer(key)
+        if known is not None:
+            return known
+        request = WaitingRequest(
+            key=key,
+            ask=ask,
+            arrived_s=now_s,
+            deadline_s=now_s + ask.remaining_ms / MS_PER_S,
+            objective_s=now_s + ask.objective_ms / MS_PER_S,
+        )
+        refusal = self._refusal(request, now_s)
+        if refusal is not None:
+            return self._finish(request, refusal)
+        if not ask.is_repeat:
+            self._repeats.note_first(now_s)
+        self._line.add(request)
+        for decided, reply in self.step(now_s):
+            if decided is request:
+                return reply
+            self._finished[decided.key] = reply
+        return PlacementReply(ask_id=ask.ask_id, state=PlacementState.QUEUED)
+
+    def withdraw(self, key: tuple[str, int]) -> None:
+        """Take a request out of the line, as its caller left."""
+        for request in self._line:
+            if request.key == key:
+                self._line.remove(request, is_served=False)
+
+    def end(
+        self,
+        key: tuple[str, int],
+        outcome: Outcome,
+        latency_s: float,
+        fingerprint: bytes,
+        now_s: float,
+    ) -> PlacementEvent | None:
+        """Take in how a placed request ended; a second report of the same end is ignored."""
+        placed = self._placed.pop(key, None)
+        if placed is None:
+            return None
+        self._crashes.observe(fingerprint, outcome, now_s)
+        state = self._targets.get(placed.target)
+        if state is None:
+            return None
+        state.in_flight.pop(key, None)
+        if outcome is Outcome.SHED:
+            state.shed_until_s = now_s + SHED_PAUSE_S
+        before = state.belief.failing(now_s)
+        state.belief.observe(outcome, latency_s, self.service_time_s, now_s)
+        if outcome is Outcome.SUCCESS:
+            self.service_time_s += SERVICE_TIME_WEIGHT * (latency_s - self.service_time_s)
+        if outcome is Outcome.SUCCESS:
+            return None
+        return PlacementEvent(
+            target=placed.target,
+            outcome=outcome,
+            failing_before=before,
+            failing_after=state.belief.failing(now_s),
+        )
+
+    def step(self, now_s: float) -> list[Decision]:
+        """Place or refuse waiting requests; their instances are to be told."""
+        self._drop_lost(now_s)
+        decisions: list[Decision] = []
+        for request in self._line:
+            reply = self._try_place(request, now_s)
+            if reply is None:
+                continue
+            self._line.remove(request, is_served=reply.state is PlacementState.GRANTED)
+            decisions.append((request, self._finish(request, reply)))
+        return decisions
+
+    # Waiting and refusing
+
+    def _known_answer(self, key: tuple[str, int]) -> PlacementReply | None:
+        if key in self._finished:
+            return self._finished[key]
+        if any(request.key == key for request in self._line):
+            return PlacementReply(ask_id=key[1], state=PlacementState.QUEUED)
+        return None
+
+    def _refusal(self, request: WaitingRequest, now_s: float) -> PlacementReply | None:
+        """Refuse at once what cannot be served in time."""
+        ask = request.ask
+        if self._crashes.is_refused(ask.fingerprint, now_s):
+            return _refuse(ask, RefusalCause.CRASH_REQUEST)
+        if not any(name not in ask.excluded for name in self._targets):
+            return _refuse(ask, RefusalCause.NO_TARGET, RETRY_AFTER_MIN_S)
+        if ask.is_repeat and not self._repeats.allows(now_s):
+            return _refuse(ask, RefusalCause.REPEAT_BUDGET)
+        wait_s = self._expected_wait_s(ask.priority, ask.workspace)
+        if now_s + wait_s + self.service_time_s > request.deadline_s:
+            cause = RefusalCause.NO_ROOM if wait_s else RefusalCause.DEADLINE
+            return _refuse(ask, cause, wait_s)
+        return None
+
+    def _expected_wait_s(self, priority: int, workspace: str) -> float:
+        ahead = self._line.ahead_of(priority, workspace)
+        if not ahead:
+            return 0.0
+        slots = sum(state.spec.slot_count for state in self._targets.values())
+        return ahead * self.service_time_s / max(1, slots)
+
+    def _try_place(self, request: WaitingRequest, now_s: float) -> PlacementReply | None:
+        ask = request.ask
+        if now_s + self._least_work_s() > request.deadline_s:
+            return _refuse(ask, RefusalCause.NO_ROOM, self.service_time_s)
+        if ask.is_repeat and not self._repeats.allows(now_s):
+            return _refuse(ask, RefusalCause.REPEAT_BUDGET)
+        state = self._choose(request, now_s)
+        if state is None:
+            return None
+        if ask.is_repeat:
+            self._repeats.note_repeat(now_s)
+        placed = _Placed(request, state.spec.name, now_s)
+        self._placed[request.key] = placed
+        state.in_flight[request.key] = placed
+        state.recent_starts.append(now_s)
+        patience_s = max(PATIENCE_MIN_S, PATIENCE_RATIO * self.service_time_s)
+        return PlacementReply(
+            ask_id=ask.ask_id,
+            state=PlacementState.GRANTED,
+            target=state.spec.name,
+            address=state.spec.address,
+            patience_ms=int(MS_PER_S * patience_s),
+            service=ask.service,
+        )
+
+    def _least_work_s(self) -> float:
+        return self.service_time_s / 4
+
+    def _finish(self, request: WaitingRequest, reply: PlacementReply) -> PlacementReply:
+        self._finished[request.key] = reply
+        if len(self._finished) > FINISHED_KEPT:
+            del self._finished[next(iter(self._finished))]
+        return reply
+
+    def _drop_lost(self, now_s: float) -> None:
+        """Free places whose end was never reported."""
+        for key, placed in list(self._placed.items()):
+            if now_s <= placed.request.deadline_s + LOST_END_GRACE_S:
+                continue
+            del self._placed[key]
+            state = self._targets.get(placed.target)
+            if state is not None:
+                state.in_flight.pop(key, None)
+
+    # Choice of the target
+
+    def _choose(self, request: WaitingRequest, now_s: float) -> _TargetState | None:
+        limit = self._doubt_limit(request, now_s)
+        best: tuple[float, _TargetState] | None = None
+        for name, state in self._targets.items():
+            if name in request.ask.excluded or not self._has_room(state, now_s):
+                continue
+            doubt = self._doubt(state, now_s)
+            if doubt > limit:
+                continue
+            cost = doubt + self._burden(state, request, now_s)
+            if best is None or cost < best[0]:
+                best = (cost, state)
+        return None if best is None else best[1]
+
+    def _doubt_limit(self, request: WaitingRequest, now_s: float) -> float:
+        """Return how doubtful a target may be, which rises over the time that is to spare."""
+        latest_s = min(request.objective_s, request.deadline_s) - 2 * self.service_time_s
+        spare_s = latest_s - request.arrived_s
+        if spare_s <= 0 or not self._has_sounder_target(request, now_s):
+            return 1.0
+        waited = (now_s - request.arrived_s) / spare_s
+        return DOUBT_AT_ONCE + (1 - DOUBT_AT_ONCE) * waited
+
+    def _has_sounder_target(self, request: WaitingRequest, now_s: float) -> bool:
+        """Tell whether waiting makes sense: a sound target is only busy."""
+        return any(
+            name not in request.ask.excluded and self._doubt(state, now_s) <= DOUBT_AT_ONCE
+            for name, state in self._targets.items()
+        )
+
+    def _doubt(self, state: _TargetState, now_s: float) -> float:
+        doubt = state.belief.failing(now_s)
+        if now_s < state.belief.down_until_s:
+            return 1.0
+        overdue_s = max(OVERDUE_MIN_S, OVERDUE_RATIO * self.service_time_s)
+        if any(now_s - placed.started_s > overdue_s for placed in state.in_flight.values()):
+            doubt += OVERDUE_DOUBT
+        return min(1.0, doubt)
+
+    def _has_room(self, state: _TargetState, now_s: float) -> bool:
+        spec = state.spec
+        if now_s < state.shed_until_s:
+            return False
+        while state.recent_starts and now_s - state.recent_starts[0] > COLD_WINDOW_S:
+            state.recent_starts.popleft()
+        if now_s >= spec.cold_until_s:
+            return len(state.in_flight) < spec.slot_count
+        allowed = max(1, int(COLD_RATE_SHARE * spec.cold_rate_per_s))
+        return len(state.in_flight) < COLD_CONCURRENCY and len(state.recent_starts) < allowed
+
+    def _burden(self, state: _TargetState, request: WaitingRequest, now_s: float) -> float:
+        """Return what speaks against a target besides the doubt about it."""
+        spec = state.spec
+        load = len(state.in_flight) / max(1, spec.slot_count)
+        burden = LOAD_WEIGHT * load * load
+        if spec.data_centre != request.ask.data_centre:
+            burden += DISTANCE_WEIGHT
+        if state.belief.mean_latency_s and self.service_time_s:
+            burden += LATENCY_WEIGHT * min(4.0, state.belief.mean_latency_s / self.service_time_s)
+        if now_s < spec.cold_until_s:
+            burden += LOAD_WEIGHT
+        return burden
+
+
+def may_run_again(outcome: Outcome, *, is_repeatable: bool) -> bool:
+    """Tell whether a request may be sent again after a try with this outcome."""
+    return outcome in NOT_STARTED or (is_repeatable and outcome is not Outcome.CANCELLED)
+
+
+def _refuse(ask: PlacementAsk, cause: RefusalCause, retry_after_s: float = 0.0) -> PlacementReply:
+    return PlacementReply(
+        ask_id=ask.ask_id,
+        state=PlacementState.REFUSED,
+        cause=cause,
+        retry_after_ms=int(MS_PER_S * max(retry_after_s, RETRY_AFTER_MIN_S)),
+    )
--- /dev/null
+++ b/packages/core/src/tanagerreach_core/_placement_messages.py
@@ -0,0 +1,114 @@
+"""Messages between an instance and the homes of services and workspaces.
+
+Each question carries an id of its sender, so that it can be sent again when a datagram is lost:
+a home answers the same question twice in the same way.
+"""
+
+from enum import IntEnum
+
+import msgspec
+
+from ._outcomes import Outcome
+
+
+class PlacementState(IntEnum):
+    """Answer of a service's home."""
+
+    GRANTED = 0
+    QUEUED = 1
+    REFUSED = 2
+
+
+class RefusalCause(IntEnum):
+    """Why a home refuses a request."""
+
+    NONE = 0
+    NO_TARGET = 1
+    NO_ROOM = 2
+    DEADLINE = 3
+    REPEAT_BUDGET = 4
+    CRASH_REQUEST = 5
+
+
+class PlacementAsk(msgspec.Struct, kw_only=True, array_like=True, tag=20):
+    """Asks a service's home for a place at a target.
+
+    ``remaining_ms`` is the time until the request's deadline, ``objective_ms`` the time left
+    within which an answer earns its full value. ``excluded`` are targets it was sent to before;
+    ``is_repeat`` tells that it was sent to one.
+    """
+
+    ask_id: int
+    service: str
+    workspace: str
+    priority: int
+    remaining_ms: int
+    objective_ms: int
+    is_repeatable: bool
+    is_repeat: bool
+    data_centre: str
+    fingerprint: bytes
+    excluded: list[str] = msgspec.field(default_factory=list)
+
+
+class PlacementReply(msgspec.Struct, kw_only=True, array_like=True, tag=21):
+    """Answer to a :class:`PlacementAsk`.
+
+    ``patience_ms`` is how long an answer of the target usually takes at most.
+    """
+
+    ask_id: int
+    state: PlacementState
+    cause: RefusalCause = RefusalCause.NONE
+    target: str = ""
+    address: str = ""
+    patience_ms: int = 0
+    retry_after_ms: int = 0
+    service: str = ""
+
+
+class PlacementEnd(msgspec.Struct, kw_only=True, array_like=True, tag=22):
+    """Tells a service's home how a placed request ended, or that its caller left the queue."""
+
+    ask_id: int
+    service: str
+    target: str
+    outcome: Outcome
+    latency_ms: int
+    fingerprint: bytes = b""
+
+
+class QuotaAsk(msgspec.Struct, kw_only=True, array_like=True, tag=23):
+    """Asks a workspace's home for one request of its quota."""
+
+    ask_id: int
+    workspace: str
+
+
+class QuotaReply(msgspec.Struct, kw_only=True, array_like=True, tag=24):
+    """Answer to a :class:`QuotaAsk`."""
+
+    ask_id: int
+    is_granted: bool
+    retry_after_ms: int = 0
+
+
+class Received(msgspec.Struct, kw_only=True, array_like=True, tag=25):
+    """Confirms a :class:`PlacementEnd`."""
+
+    ask_id: int
+
+
+class Heartbeat(msgspec.Struct, kw_only=True, array_like=True, tag=26):
+    """Tells peers that the sender lives.
+
+    ``configuration_version`` is the store's revision of the operators' state that the sender has
+    in force. ``known_peers`` is sent to an instance that the sender did not know before.
+    """
+
+    address: str
+    data_centre: str
+    is_leaving: bool
+    is_serving: bool
+    configuration_version: int
+    known_peers: dict[str, str] = msgspec.field(default_factory=dict)
--- a/packages/core/src/tanagerreach_core/_resolution.py
+++ b/packages/core/src/tanagerreach_core/_resolution.py
@@ -106,7 +106,9 @@
             return None
         return key
 
-    def find_route(self, host: str, method: str, raw_path: str) -> Result[RouteMatch, RouteRefusal]:
+    def find_route(
+        self, host: str, method: str, raw_path: str, draw: float = 0.0
+    ) -> Result[RouteMatch, RouteRefusal]:
         """Find the route of a request.
 
         Routes with the request's host come first, then those without a host. Among them the
@@ -115,6 +117,7 @@
 
         :param host: the ``Host`` header.
         :param raw_path: the path as received, not decoded, without the query.
+        :param draw: random number from 0 to 1, which picks the service of a route that splits.
         """
         try:
             path = normalise_path(raw_path)
@@ -135,7 +138,7 @@
                     allowed_methods=tuple(sorted(methods)),
                 )
             )
-        return Ok(self._match(route, method, path))
+        return Ok(self._match(route, method, path, draw))
 
     def may_use(self, route: Route, workspace: Workspace) -> bool:
         """Tell whether a route's selector admits a workspace."""
@@ -158,8 +161,11 @@
         found = self.configuration.data_centres.get(data_centre)
         return found is None or not found.out
 
-    def _match(self, route: Route, method: str, path: str) -> RouteMatch:
-        service = self.configuration.services.get(self._route_services.get(route.name, ""))
+    def _match(self, route: Route, method: str, path: str, draw: float) -> RouteMatch:
+        name = self._route_services.get(route.name, "")
+        if route.split:
+            name = split_service(route.split, draw)
+        service = self.configuration.services.get(name)
         idempotent = route.idempotent
         if idempotent is None:
             idempotent = method in IDEMPOTENT_METHODS
@@ -204,6 +210,19 @@
             self._targets[name] = entry
 
 
+def split_service(split: Mapping[str, float], draw: float) -> str:
+    """Pick a service by its weight.
+
+    :param draw: number from 0 to 1; equal numbers give equal services.
+    """
+    left = draw * sum(split.values())
+    for name, weight in split.items():
+        left -= weight
+        if left < 0:
+            return name
+    return next(reversed(split))
+
+
 def service_name(route: Route, services: Mapping[str, Service], index: LabelIndex) -> str:
     """Give the name of the service that a route names or selects, empty when there is none."""
     if route.service in services:
--- /dev/null
+++ b/packages/core/src/tanagerreach_core/_roster.py
@@ -0,0 +1,124 @@
+"""Live instances of the fleet, and which of them is the home of a service or workspace.
+
+Every instance hears the heartbeats of the others. The home of a thing is the first live instance
+in the thing's rendezvous order, so that instances that hear the same peers agree without a vote.
+"""
+
+from dataclasses import dataclass
+
+import xxhash
+
+SILENCE_LIMIT_S = 2.6
+"""A peer that was not heard for this long is no home: two lost heartbeats and some delay."""
+FORGET_S = 60.0
+"""A peer that was not heard for this long counts no more as a part of the fleet."""
+SUSPICION_S = 1.5
+"""A peer that left a question unanswered is not asked again for this long."""
+
+
+@dataclass(slots=True, kw_only=True)
+class Peer:
+    """What an instance knows of another one."""
+
+    name: str
+    address: str
+    data_centre: str = ""
+    heard_s: float = float("-inf")
+    added_s: float = 0.0
+    suspected_until_s: float = 0.0
+    is_leaving: bool = False
+    is_serving: bool = False
+    configuration_version: int = 0
+
+
+class Roster:
+    """Peers of one instance.
+
+    :param own_name: this instance's name.
+    """
+
+    __slots__ = ("_own_name", "_peers", "own_is_home")
+
+    def __init__(self, *, own_name: str) -> None:
+        self._own_name = own_name
+        self._peers: dict[str, Peer] = {}
+        self.own_is_home = True
+
+    @property
+    def peers(self) -> list[Peer]:
+        """All known peers."""
+        return list(self._peers.values())
+
+    def learn(self, name: str, address: str, now_s: float) -> bool:
+        """Add a peer that was told of.
+
+        :returns: whether it is new.
+        """
+        if name == self._own_name:
+            return False
+        known = self._peers.get(name)
+        if known is None:
+            self._peers[name] = Peer(name=name, address=address, added_s=now_s)
+            return True
+        if known.address != address and now_s - known.heard_s > SILENCE_LIMIT_S:
+            known.address = address
+        return False
+
+    def heard(self, name: str, address: str, now_s: float) -> tuple[Peer, bool]:
+        """Note a heartbeat.
+
+        :returns: the peer, and whether it was silent or unknown before.
+        """
+        self.learn(name, address, now_s)
+        peer = self._peers[name]
+        was_silent = not self.is_live(peer, now_s)
+        peer.address = address
+        peer.heard_s = now_s
+        return peer, was_silent
+
+    def suspect(self, name: str, now_s: float) -> None:
+        """Ask a peer nothing for a while, as it left a question unanswered."""
+        peer = self._peers.get(name)
+        if peer is not None:
+            peer.suspected_until_s = now_s + SUSPICION_S
+
+    @staticmethod
+    def is_live(peer: Peer, now_s: float) -> bool:
+        """Tell whether a peer was heard of late."""
+        return now_s - peer.heard_s <= SILENCE_LIMIT_S
+
+    def homes(self, thing: bytes, now_s: float) -> list[Peer | None]:
+        """Return the live instances by preference for a thing; ``None`` stands for this one."""
+        ranked: list[tuple[int, str, Peer | None]] = []
+        if self.own_is_home:
+            ranked.append((_weight(thing, self._own_name), self._own_name, None))
+        for peer in self._peers.values():
+            can_serve = peer.is_serving and not peer.is_leaving
+            if can_serve and self.is_live(peer, now_s) and now_s >= peer.suspected_until_s:
+                ranked.append((_weight(thing, peer.name), peer.name, peer))
+        ranked.sort(key=lambda entry: entry[:2], reverse=True)
+        return [peer for _, _, peer in ranked]
+
+    def fleet_share(self, now_s: float) -> float:
+        """Return the part of the known fleet that is heard, this instance included."""
+        live = sum(1 for peer in self._peers.values() if self.is_live(peer, now_s))
+        counted = sum(1 for peer in self._peers.values() if not peer.is_leaving)
+        return min(1.0, (1 + live) / (1 + max(counted, live)))
+
+    def size(self) -> int:
+        """Return the number of instances known, this one included."""
+        return 1 + len(self._peers)
+
+    def forget_silent(self, now_s: float) -> list[str]:
+        """Drop peers that were silent for long, and those that left."""
+        dropped = []
+        for peer in list(self._peers.values()):
+            silent_s = now_s - max(peer.heard_s, peer.added_s)
+            if silent_s > (SILENCE_LIMIT_S if peer.is_leaving else FORGET_S):
+                del self._peers[peer.name]
+                dropped.append(peer.name)
+        return dropped
+
+
+def _weight(thing: bytes, name: str) -> int:
+    return xxhash.xxh3_64_intdigest(thing + b"\x00" + name.encode())
--- a/packages/core/src/tanagerreach_core/messages.py
+++ b/packages/core/src/tanagerreach_core/messages.py
@@ -24,6 +24,17 @@
     TokenReply,
     TokenRequest,
 )
+from ._placement_messages import (
+    Heartbeat,
+    PlacementAsk,
+    PlacementEnd,
+    PlacementReply,
+    PlacementState,
+    QuotaAsk,
+    QuotaReply,
+    Received,
+    RefusalCause,
+)
 from ._slots import SlotSet
 
 __all__ = [
@@ -34,11 +45,20 @@
     "ClaimVote",
     "Envelope",
     "Exchange",
+    "Heartbeat",
     "HolderWord",
     "Loan",
     "MemberRecord",
     "MemberState",
     "Message",
+    "PlacementAsk",
+    "PlacementEnd",
+    "PlacementReply",
+    "PlacementState",
+    "QuotaAsk",
+    "QuotaReply",
+    "Received",
+    "RefusalCause",
     "ServiceReply",
     "ServiceReport",
     "SlotSet",
--- a/packages/daemon/src/tanagerreachd/_caller_body.py
+++ b/packages/daemon/src/tanagerreachd/_caller_body.py
@@ -37,9 +37,11 @@
     :param chunked: whether the body is in chunks of unannounced total length.
     :param limit_bytes: greatest size allowed.
     :param part_time_limit_s: time in which each part of 64 KiB has to arrive.
+    :param buffered_bytes: size up to which a body is read whole before it is sent anywhere.
     """
 
     __slots__ = (
+        "_buffered_bytes",
         "_chunked",
         "_first_part",
         "_limit_bytes",
@@ -58,8 +60,10 @@
         chunked: bool,
         limit_bytes: int,
         part_time_limit_s: float,
+        buffered_bytes: int = BUFFERED_BODY_BYTES,
     ) -> None:
         self._stream = stream
+        self._buffered_bytes = buffered_bytes
         self._chunked = chunked
         self._limit_bytes = limit_bytes
         self._part_time_limit_s = part_time_limit_s
@@ -87,10 +91,10 @@
             return
         if self._chunked:
             # One byte more tells whether the body ends with the first part.
-            part = self._read(BUFFERED_BODY_BYTES + 1)
-            is_whole = len(part) <= BUFFERED_BODY_BYTES
+            part = self._read(self._buffered_bytes + 1)
+            is_whole = len(part) <= self._buffered_bytes
         else:
-            part = self._read(min(BUFFERED_BODY_BYTES, self.content_length))
+            part = self._read(min(self._buffered_bytes, self.content_length))
             is_whole = len(part) == self.content_length
         if is_whole:
             self.buffered = part
--- a/packages/daemon/src/tanagerreachd/_http_server.py
+++ b/packages/daemon/src/tanagerreachd/_http_server.py
@@ -173,7 +173,7 @@
 
     def handle_one_request(self) -> Any:
         """Wait for one request and handle it."""
-        self.server.idle_handlers.add(self)
+        self.note_waiting()
         try:
             return super().handle_one_request()
         except RequestRefusedError as error:
@@ -188,6 +188,14 @@
                 self.is_active = False
                 self.server.active_count -= 1
 
+    def note_waiting(self) -> None:
+        """Count the connection as one that may be closed without cutting a request."""
+        self.server.idle_handlers.add(self)
+
+    def must_close(self) -> bool:
+        """Tell whether the connection ends after this response."""
+        return self.server.draining or self.wsgi_input.ends_connection
+
     def read_requestline(self) -> str:
         """Wait for a request up to the idle time, then read its first line."""
         received = self.rfile.peek(1)
@@ -287,12 +295,12 @@
     def handle_one_response(self) -> None:
         """Run the application; close the connection when the body was left unread."""
         super().handle_one_response()
-        if self.wsgi_input.abandoned or self.server.draining:
+        if self.wsgi_input.abandoned or self.must_close():
             self.close_connection = True
 
     def finalize_headers(self) -> None:
         """Announce that the connection closes, and give no length to a HEAD answer without one."""
-        if self.server.draining or self.wsgi_input.ends_connection:
+        if self.must_close():
             self.close_connection = True
         if self.close_connection:
             self.response_headers = [
@@ -364,10 +372,9 @@
     :param on_refused: called for each request refused before the application.
     :param on_failure: called with each unexpected exception of the application.
     :param failure_response: complete response to a request whose application failed.
+    :param handler_class: handles one connection.
     """
 
-    handler_class = CallerHandler
-
     def __init__(
         self,
         *,
@@ -378,8 +385,11 @@
         on_refused: Callable[[RequestRefusedError], None],
         on_failure: Callable[[BaseException], None],
         failure_response: bytes,
+        handler_class: type[CallerHandler] = CallerHandler,
     ) -> None:
-        super().__init__(listener, application, log=None, error_log=None)
+        super().__init__(
+            listener, application, log=None, error_log=None, handler_class=handler_class
+        )
         self.limits = limits
         self.render_refusal = render_refusal
         self.on_refused = on_refused
--- a/packages/daemon/src/tanagerreachd/_proxy.py
+++ b/packages/daemon/src/tanagerreachd/_proxy.py
@@ -1,5 +1,6 @@
 """The path of a caller's request: checks, admission, tries at targets, answer or refusal."""
 
+import random
 import secrets
 from collections.abc import Callable, Iterable
 from http import HTTPStatus
@@ -20,10 +21,10 @@
 from ._request_context import RequestContext, time_limit_s
 from ._request_headers import bearer_key, response_headers
 from ._service_dispatcher import ServiceDispatcher
+from ._streamed_answer import StreamedAnswer
 from ._target_tries import TargetTries, answer_outcome
 from ._token_client import TokenClient
 from ._upstream import AnswerStream, UpstreamAnswer, UpstreamClient
-from ._upstream_errors import IncompleteAnswerError
 
 HEALTH_PATH = "/healthz"
 REQUEST_ID_BYTES = 12
@@ -32,49 +33,6 @@
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 
 
-class StreamedAnswer:
-    """Passes an answer on in parts, and hands back what its request holds at the end.
-
-    :param on_end: called once, with how the answer ended.
-    """
-
-    __slots__ = ("_on_end", "_outcome", "_stream")
-
-    def __init__(
-        self, *, stream: AnswerStream, outcome: Outcome, on_end: Callable[[Outcome], None]
-    ) -> None:
-        self._stream = stream
-        self._outcome = outcome
-        self._on_end: Callable[[Outcome], None] | None = on_end
-
-    def __iter__(self) -> "StreamedAnswer":
-        return self
-
-    def __next__(self) -> bytes:
-        """Return the next part.
-
-        :raises IncompleteAnswerError: when the target's answer ends early.
-        """
-        try:
-            return next(self._stream)
-        except StopIteration:
-            self._end(self._outcome)
-            raise
-        except IncompleteAnswerError:
-            self._end(Outcome.BROKEN_AFTER_HEAD)
-            raise
-
-    def close(self) -> None:
-        """Break the answer off when it was not passed on whole."""
-        self._stream.close()
-        self._end(Outcome.CANCELLED)
-
-    def _end(self, outcome: Outcome) -> None:
-        on_end, self._on_end = self._on_end, None
-        if on_end is not None:
-            on_end(outcome)
-
-
 class Proxy:
     """WSGI application of the callers' listener.
 
@@ -249,7 +207,7 @@
     def _find_route(resolver: Resolver, environ: dict[str, Any]) -> RouteMatch:
         raw_path = environ["tanagerreach.raw_target"].partition("?")[0]
         found = resolver.find_route(
-            environ.get("HTTP_HOST", ""), environ["REQUEST_METHOD"], raw_path
+            environ.get("HTTP_HOST", ""), environ["REQUEST_METHOD"], raw_path, random.random()
         )
         if isinstance(found, Err):
             raise route_refusal(found.err_value)
--- a/packages/daemon/src/tanagerreachd/_refusals.py
+++ b/packages/daemon/src/tanagerreachd/_refusals.py
@@ -53,8 +53,14 @@
             }
         )
 
-    def response_headers(self, body: bytes) -> list[tuple[str, str]]:
-        """Headers of the refusal's response."""
+    def response_headers(
+        self, body: bytes, *, in_whole_seconds: bool = True
+    ) -> list[tuple[str, str]]:
+        """Headers of the refusal's response.
+
+        :param in_whole_seconds: whether ``Retry-After`` is rounded as HTTP asks for; some callers
+            understand fractions too.
+        """
         headers = [
             ("Content-Type", PROBLEM_CONTENT_TYPE),
             ("Content-Length", str(len(body))),
@@ -63,8 +69,11 @@
             *self.headers,
         ]
         if self.retry_after_s is not None:
-            # Retry-After is in whole seconds; 0 would invite an immediate retry.
-            headers.append(("Retry-After", str(max(1, round(self.retry_after_s)))))
+            # 0 would invite an immediate retry.
+            text = str(max(1, round(self.retry_after_s)))
+            if not in_whole_seconds:
+                text = f"{self.retry_after_s:.2f}"
+            headers.append(("Retry-After", text))
         return headers
 
 
--- /dev/null
+++ b/packages/daemon/src/tanagerreachd/_streamed_answer.py
@@ -0,0 +1,51 @@
+"""Passes a target's answer on in parts."""
+
+from collections.abc import Callable
+
+from tanagerreach_core.traffic import Outcome
+
+from ._upstream import AnswerStream
+from ._upstream_errors import IncompleteAnswerError
+
+
+class StreamedAnswer:
+    """Passes an answer on in parts, and hands back what its request holds at the end.
+
+    :param on_end: called once, with how the answer ended.
+    """
+
+    __slots__ = ("_on_end", "_outcome", "_stream")
+
+    def __init__(
+        self, *, stream: AnswerStream, outcome: Outcome, on_end: Callable[[Outcome], None]
+    ) -> None:
+        self._stream = stream
+        self._outcome = outcome
+        self._on_end: Callable[[Outcome], None] | None = on_end
+
+    def __iter__(self) -> "StreamedAnswer":
+        return self
+
+    def __next__(self) -> bytes:
+        """Return the next part.
+
+        :raises IncompleteAnswerError: when the target's answer ends early.
+        """
+        try:
+            return next(self._stream)
+        except StopIteration:
+            self._end(self._outcome)
+            raise
+        except IncompleteAnswerError:
+            self._end(Outcome.BROKEN_AFTER_HEAD)
+            raise
+
+    def close(self) -> None:
+        """Break the answer off when it was not passed on whole."""
+        self._stream.close()
+        self._end(Outcome.CANCELLED)
+
+    def _end(self, outcome: Outcome) -> None:
+        on_end, self._on_end = self._on_end, None
+        if on_end is not None:
+            on_end(outcome)
--- a/packages/daemon/src/tanagerreachd/_upstream.py
+++ b/packages/daemon/src/tanagerreachd/_upstream.py
@@ -7,7 +7,7 @@
 
 import http.client
 import re
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 
 import gevent
@@ -16,7 +16,7 @@
 
 from ._http_head import HeaderFields
 from ._peer_link import split_address
-from ._upstream_connection import TargetConnection, TargetPool
+from ._upstream_connection import MAX_IDLE_S, TargetConnection, TargetPool
 from ._upstream_errors import (
     AnswerTimeoutError,
     BrokenConnectionError,
@@ -25,6 +25,7 @@
     IncompleteAnswerError,
     LoadShedError,
     WrongAnswerError,
+    WrongTargetError,
 )
 
 # Answers up to this size are read whole before the caller sees the first byte, so that a short
@@ -38,7 +39,9 @@
 LOAD_SHED_NOT_STARTED = "not-started"
 REQUEST_ID_HEADER = "Request-Id"
 STATUS_SERVICE_UNAVAILABLE = 503
+STATUS_MISDIRECTED = 421
 FIRST_FINAL_STATUS = 200
+FIRST_REDIRECT_STATUS = 300
 BODILESS_STATUSES = frozenset({204, 304})
 
 HOP_BY_HOP_HEADERS = frozenset(
@@ -70,6 +73,34 @@
     """Raised by the timer of the wait for a response head; not an error of the application."""
 
 
+def _sheds_load(status: int, headers: HeaderFields) -> bool:
+    shed = headers.get(LOAD_SHED_HEADER, "").lower() == LOAD_SHED_NOT_STARTED
+    return status == STATUS_SERVICE_UNAVAILABLE and shed
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class TargetDialect:
+    """How targets say what the client has to understand; the defaults are the product's own.
+
+    :param request_id_header: names the request that an answer belongs to.
+    :param sheds_load: tells from status and headers that the request was not started.
+    :param accepts_unframed: whether an answer without a length may end with its connection.
+    :param max_foreign_answers: answers to other requests that are passed over on one connection
+        before it is given up.
+    :param requires_request_id: whether an answer without an identifier belongs to no request.
+    :param success_header: header without which a success is not the target's.
+    :param accepts_encoded: whether a body may have a content coding.
+    """
+
+    request_id_header: str = REQUEST_ID_HEADER
+    sheds_load: Callable[[int, HeaderFields], bool] = _sheds_load
+    accepts_unframed: bool = False
+    max_foreign_answers: int = 0
+    requires_request_id: bool = False
+    success_header: str | None = None
+    accepts_encoded: bool = True
+
+
 @dataclass(slots=True, kw_only=True)
 class UpstreamRequest:
     """What is sent to a backend server.
@@ -78,6 +109,8 @@
     :param body: whole body, an iterator of its parts, or None.
     :param is_limited_from_start: whether the time limit covers the sending of a body in parts;
         otherwise it counts from the last part.
+    :param max_idle_s: longest idle time of a connection that the request may use. A request that
+        must not be repeated is lost on a connection that its target is just closing.
     """
 
     method: str
@@ -86,6 +119,7 @@
     body: bytes | Iterable[bytes] | None
     request_id: str
     is_limited_from_start: bool = True
+    max_idle_s: float = MAX_IDLE_S
 
 
 class AnswerStream:
@@ -174,11 +208,19 @@
 
     :param connect_timeout_s: time allowed for opening a connection.
     :param idle_timeout_s: time allowed between two parts of an answer's body.
+    :param dialect: how targets name requests and shed load.
     """
 
-    __slots__ = ("_connect_timeout_s", "_idle_timeout_s", "_pools")
+    __slots__ = ("_connect_timeout_s", "_dialect", "_idle_timeout_s", "_pools")
 
-    def __init__(self, *, connect_timeout_s: float, idle_timeout_s: float) -> None:
+    def __init__(
+        self,
+        *,
+        connect_timeout_s: float,
+        idle_timeout_s: float,
+        dialect: TargetDialect | None = None,
+    ) -> None:
+        self._dialect = dialect or TargetDialect()
         self._connect_timeout_s = connect_timeout_s
         self._idle_timeout_s = idle_timeout_s
         self._pools: dict[str, TargetPool] = {}
@@ -209,9 +251,10 @@
         pool = self._pool(address)
         connection = None
         try:
-            connection = _take(target, pool)
+            connection = _take(target, pool, request.max_idle_s)
             _write(connection, request, timer)
-            return _receive(target, request, connection, pool, head_timer)
+            exchange = _Exchange(target, request, connection, pool, self._dialect)
+            return exchange.receive(head_timer)
         except _HeadLimitReached:
             if connection is None:
                 raise ConnectFailedError(target, "no connection within the try limit") from None
@@ -238,8 +281,13 @@
         """Close the pools of targets that are no longer configured, and old idle connections."""
         for address in set(self._pools) - set(addresses):
             self._pools.pop(address).close()
-        for pool in list(self._pools.values()):
-            pool.drop_old()
+        self.drop_old()
+
+    def drop_old(self) -> None:
+        """Close old idle connections, and forget targets without any."""
+        for address, pool in list(self._pools.items()):
+            if not pool.drop_old():
+                del self._pools[address]
 
     def close(self) -> None:
         """Close all idle connections."""
@@ -266,9 +314,9 @@
     return [(name, value) for name, value in headers.items() if name.lower() not in dropped]
 
 
-def _take(target: str, pool: TargetPool) -> TargetConnection:
+def _take(target: str, pool: TargetPool, max_idle_s: float) -> TargetConnection:
     try:
-        return pool.take()
+        return pool.take(max_idle_s)
     except OSError as error:
         raise ConnectFailedError(target, f"connection failed ({type(error).__name__})") from error
 
@@ -289,31 +337,115 @@
     timer.start()
 
 
-def _receive(
-    target: str,
-    request: UpstreamRequest,
-    connection: TargetConnection,
-    pool: TargetPool,
-    head_timer: gevent.Timeout,
-) -> UpstreamAnswer:
-    response = connection.getresponse()
-    head_timer.close()
-    headers = _headers(response)
-    _check_head(target, request, response, headers)
-    body = None
-    stream = None
-    if _is_small(request, response, headers):
-        body = _read_whole(target, response)
-        pool.give_back(connection)
-    else:
-        stream = AnswerStream(target, response, connection, pool)
-    return UpstreamAnswer(
-        status=response.status,
-        reason=response.reason or "",
-        headers=forwardable_headers(headers),
-        body=body,
-        stream=stream,
-    )
+class _Exchange:
+    """Receives the answer to one request that was sent on a connection."""
+
+    __slots__ = ("_connection", "_dialect", "_pool", "_request", "_target")
+
+    def __init__(
+        self,
+        target: str,
+        request: UpstreamRequest,
+        connection: TargetConnection,
+        pool: TargetPool,
+        dialect: TargetDialect,
+    ) -> None:
+        self._target = target
+        self._request = request
+        self._connection = connection
+        self._pool = pool
+        self._dialect = dialect
+
+    def receive(self, head_timer: gevent.Timeout) -> UpstreamAnswer:
+        """Read the answer's head, and its body when that is small."""
+        response, headers = self._own_answer()
+        head_timer.close()
+        self._check_head(response, headers)
+        body = None
+        stream = None
+        if self._is_buffered(response, headers):
+            body = _read_whole(self._target, response)
+            self._pool.give_back(self._connection)
+        else:
+            stream = AnswerStream(self._target, response, self._connection, self._pool)
+        return UpstreamAnswer(
+            status=response.status,
+            reason=response.reason or "",
+            headers=forwardable_headers(headers),
+            body=body,
+            stream=stream,
+        )
+
+    def _own_answer(self) -> tuple[http.client.HTTPResponse, HeaderFields]:
+        """Return the answer with this request's identifier, after others that came late.
+
+        An answer without an identifier is taken for the request's own.
+        """
+        for passed_over in range(self._dialect.max_foreign_answers + 1):
+            response = self._connection.next_response()
+            headers = _headers(response)
+            answered_id = headers.get(self._dialect.request_id_header)
+            if answered_id == self._request.request_id or self._is_anonymous(
+                response.status, headers
+            ):
+                return response, headers
+            # An unframed answer takes all that follows, and one to HEAD has no body to pass over.
+            is_last = passed_over == self._dialect.max_foreign_answers
+            if is_last or response.will_close or self._request.method == "HEAD":
+                break
+            _read_whole(self._target, response)
+        raise WrongAnswerError(self._target, "answered with another request's identifier")
+
+    def _is_anonymous(self, status: int, headers: HeaderFields) -> bool:
+        """Tell whether an answer without an identifier may be the request's own."""
+        if headers.get(self._dialect.request_id_header) is not None:
+            return False
+        return not self._dialect.requires_request_id or self._dialect.sheds_load(status, headers)
+
+    def _check_success(self, status: int, headers: HeaderFields) -> None:
+        dialect = self._dialect
+        is_success = FIRST_FINAL_STATUS <= status < FIRST_REDIRECT_STATUS
+        if is_success and dialect.success_header and dialect.success_header not in headers:
+            raise WrongAnswerError(self._target, "sent a success without its mark")
+        if not dialect.accepts_encoded and "content-encoding" in headers:
+            raise WrongAnswerError(self._target, "sent a body with a content coding")
+
+    def _check_head(self, response: http.client.HTTPResponse, headers: HeaderFields) -> None:
+        """Refuse answers that cannot be passed on as they are."""
+        _check_fields(self._target, response, headers)
+        if response.status == STATUS_MISDIRECTED and self._dialect.sheds_load(421, headers):
+            raise WrongTargetError(self._target, "another target has the address")
+        if self._dialect.sheds_load(response.status, headers):
+            raise LoadShedError(self._target, "shed the request before starting it")
+        self._check_success(response.status, headers)
+        self._check_framing(response, headers)
+
+    def _check_framing(self, response: http.client.HTTPResponse, headers: HeaderFields) -> None:
+        """Accept only answers whose end can be checked, and in one way."""
+        encoding = headers.get("transfer-encoding")
+        length = headers.get("content-length")
+        if length is not None and (encoding is not None or not DECIMAL.match(length)):
+            raise IncompleteAnswerError(
+                self._target, "announced the length of its body in several ways"
+            )
+        if encoding is not None and encoding.lower() != "chunked":
+            raise IncompleteAnswerError(self._target, "used a Transfer-Encoding other than chunked")
+        is_unframed = length is None and encoding is None
+        if not is_unframed or _is_bodiless(self._request, response):
+            return
+        if not self._dialect.accepts_unframed:
+            raise IncompleteAnswerError(
+                self._target, "sent a body without Content-Length or chunked encoding"
+            )
+
+    def _is_buffered(self, response: http.client.HTTPResponse, headers: HeaderFields) -> bool:
+        if _is_bodiless(self._request, response):
+            return True
+        length = headers.get("content-length")
+        if length is None:
+            # The end of an unframed body shows only when it is here.
+            return not response.chunked
+        return int(length) <= BUFFERED_ANSWER_BYTES
 
 
 def _headers(response: http.client.HTTPResponse) -> HeaderFields:
@@ -328,62 +460,19 @@
     return " ".join(line.strip(" \t") for line in value.split("\r\n"))
 
 
-def _check_head(
-    target: str,
-    request: UpstreamRequest,
-    response: http.client.HTTPResponse,
-    headers: HeaderFields,
-) -> None:
-    """Refuse answers that belong to another request or cannot be passed on as they are.
-
-    The identifier is looked at first: another request's load shedding says nothing about this one.
-    """
-    answered_id = headers.get(REQUEST_ID_HEADER)
-    if answered_id is not None and answered_id != request.request_id:
-        raise WrongAnswerError(target, "answered with another request's identifier")
+def _check_fields(target: str, response: http.client.HTTPResponse, headers: HeaderFields) -> None:
+    """Refuse heads that cannot be passed on as they are."""
     if response.status < FIRST_FINAL_STATUS or FORBIDDEN_VALUE.search(response.reason or ""):
         raise WrongAnswerError(target, f"answered with an unusable status {response.status}")
     for name, value in headers.items():
         if not HEADER_NAME.match(name) or FORBIDDEN_VALUE.search(value):
             raise WrongAnswerError(target, "answered with a malformed header")
-    shed = headers.get(LOAD_SHED_HEADER, "").lower() == LOAD_SHED_NOT_STARTED
-    if response.status == STATUS_SERVICE_UNAVAILABLE and shed:
-        raise LoadShedError(target, "shed the request before starting it")
-    _check_framing(target, request, response, headers)
-
-
-def _check_framing(
-    target: str,
-    request: UpstreamRequest,
-    response: http.client.HTTPResponse,
-    headers: HeaderFields,
-) -> None:
-    """Accept only answers whose end can be checked, and in one way."""
-    encoding = headers.get("transfer-encoding")
-    length = headers.get("content-length")
-    if length is not None and (encoding is not None or not DECIMAL.match(length)):
-        raise IncompleteAnswerError(target, "announced the length of its body in several ways")
-    if encoding is not None and encoding.lower() != "chunked":
-        raise IncompleteAnswerError(target, "used a Transfer-Encoding other than chunked")
-    if length is None and encoding is None and not _is_bodiless(request, response):
-        raise IncompleteAnswerError(
-            target, "sent a body without Content-Length or chunked encoding"
-        )
 
 
 def _is_bodiless(request: UpstreamRequest, response: http.client.HTTPResponse) -> bool:
     return request.method == "HEAD" or response.status in BODILESS_STATUSES
 
 
-def _is_small(
-    request: UpstreamRequest, response: http.client.HTTPResponse, headers: HeaderFields
-) -> bool:
-    if _is_bodiless(request, response):
-        return True
-    length = headers.get("content-length")
-    return length is not None and int(length) <= BUFFERED_ANSWER_BYTES
-
-
 def _read_whole(target: str, response: http.client.HTTPResponse) -> bytes:
     try:
         return response.read()
--- a/packages/daemon/src/tanagerreachd/_upstream_connection.py
+++ b/packages/daemon/src/tanagerreachd/_upstream_connection.py
@@ -23,6 +23,45 @@
 METHODS_WITHOUT_BODY = frozenset({"GET", "HEAD", "DELETE", "TRACE", "OPTIONS", "CONNECT"})
 
 
+class _SharedReader:
+    """Buffered bytes of one connection, read by one response after the other.
+
+    A response of ``http.client`` closes its reader at its end, and what had arrived behind it
+    would be lost without notice.
+    """
+
+    __slots__ = ("_reader", "_socket")
+
+    def __init__(self, opened: Any) -> None:
+        self._socket = opened
+        self._reader = opened.makefile("rb")
+
+    def makefile(self, _mode: str) -> "_SharedReader":
+        """Return the reader itself, in place of a new one for each response."""
+        return self
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._reader, name)
+
+    def close(self) -> None:
+        """Leave the reader open for the next response."""
+
+    def release(self) -> None:
+        """Close the reader."""
+        self._reader.close()
+
+    def has_surplus(self) -> bool:
+        """Tell whether bytes wait that belong to no response, without waiting for any."""
+        timeout_s = self._socket.gettimeout()
+        self._socket.settimeout(0.0)
+        try:
+            return bool(self._reader.peek(1))
+        except OSError:
+            return False
+        finally:
+            self._socket.settimeout(timeout_s)
+
+
 class _Response(http.client.HTTPResponse):
     """Response that skips all interim answers; ``http.client`` itself skips 100 only."""
 
@@ -42,7 +81,6 @@
     :param idle_timeout_s: time allowed for each send and between two parts of an answer.
     """
 
-    response_class = _Response
     # A closed connection is never opened again under a request.
     auto_open = 0
 
@@ -53,7 +91,10 @@
         super().__init__(host.strip("[]"), port, timeout=idle_timeout_s)
         self._connect_timeout_s = connect_timeout_s
         self._opened: Any = None
+        self._reader: _SharedReader | None = None
+        self._method = ""
         self.idle_since_s = 0.0
+        self._is_awaiting_first = False
 
     def connect(self) -> None:
         """Open the connection.
@@ -73,6 +114,27 @@
         opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         opened.settimeout(self.timeout)
         self.sock = self._opened = opened
+        reader = self._reader = _SharedReader(opened)
+        self.response_class = lambda _socket, **options: _Response(reader, **options)
+
+    def next_response(self) -> http.client.HTTPResponse:
+        """Read the head of the next response, whichever request it belongs to.
+
+        :raises OSError: when the connection fails.
+        :raises http.client.HTTPException: when the bytes are no response.
+        """
+        if self._is_awaiting_first:
+            self._is_awaiting_first = False
+            return self.getresponse()
+        response = _Response(self._reader, method=self._method)
+        response.begin()
+        if response.will_close:
+            self.close()
+        return response
+
+    def has_surplus(self) -> bool:
+        """Tell whether bytes have arrived that belong to no response."""
+        return self._reader is not None and self._reader.has_surplus()
 
     def send_request(
         self,
@@ -83,6 +145,8 @@
     ) -> None:
         """Send a request with the given headers; a missing Host and body length are added."""
         names = {name.lower() for name in headers}
+        self._method = method
+        self._is_awaiting_first = True
         self.putrequest(method, target_path, skip_host="host" in names, skip_accept_encoding=True)
         is_chunked = "transfer-encoding" in names
         if not is_chunked and "content-length" not in names:
@@ -126,11 +190,18 @@
         if opened is not None:
             with contextlib.suppress(OSError):
                 opened.shutdown(socket.SHUT_RDWR)
+        # A response that is open flushes the reader when it is closed.
         self.close()
+        reader, self._reader = self._reader, None
+        if reader is not None:
+            reader.release()
+
+    def is_reusable(self, max_idle_s: float = MAX_IDLE_S) -> bool:
+        """Tell whether an idle connection is still open and has no unexpected data.
 
-    def is_reusable(self) -> bool:
-        """Tell whether an idle connection is still open and has no unexpected data."""
-        if self.sock is None or time.monotonic() - self.idle_since_s > MAX_IDLE_S:
+        :param max_idle_s: longest time since its last answer.
+        """
+        if self.sock is None or time.monotonic() - self.idle_since_s > max_idle_s:
             return False
         try:
             self.sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
@@ -156,14 +227,15 @@
         self._idle: deque[TargetConnection] = deque()
         self._is_closed = False
 
-    def take(self) -> TargetConnection:
+    def take(self, max_idle_s: float = MAX_IDLE_S) -> TargetConnection:
         """Return an open connection.
 
+        :param max_idle_s: longest idle time of a connection that is used again.
         :raises OSError: when none can be opened.
         """
         while self._idle:
             connection = self._idle.pop()
-            if connection.is_reusable():
+            if connection.is_reusable(max_idle_s):
                 return connection
             connection.abandon()
         connection = TargetConnection(
@@ -176,21 +248,26 @@
         return connection
 
     def give_back(self, connection: TargetConnection) -> None:
-        """Keep a connection on which a whole answer was received."""
-        if self._is_closed or connection.sock is None or len(self._idle) >= MAX_IDLE_CONNECTIONS:
+        """Keep a connection on which a whole answer was received, and nothing behind it."""
+        is_full = self._is_closed or len(self._idle) >= MAX_IDLE_CONNECTIONS
+        if is_full or connection.sock is None or connection.has_surplus():
             connection.abandon()
             return
         connection.idle_since_s = time.monotonic()
         self._idle.append(connection)
 
-    def drop_old(self) -> None:
-        """Close connections that were idle for too long or that the target has closed."""
+    def drop_old(self) -> bool:
+        """Close connections that were idle for too long or that the target has closed.
+
+        :returns: whether any idle connection is left.
+        """
         for _ in range(len(self._idle)):
             connection = self._idle.popleft()
             if connection.is_reusable():
                 self._idle.append(connection)
             else:
                 connection.abandon()
+        return bool(self._idle)
 
     def close(self) -> None:
         """Close all idle connections, and the others when they are given back."""
--- a/packages/daemon/src/tanagerreachd/_upstream_errors.py
+++ b/packages/daemon/src/tanagerreachd/_upstream_errors.py
@@ -30,6 +30,13 @@
     may_have_started = False
 
 
+class WrongTargetError(UpstreamError):
+    """Another target has the address now; it did not start the request."""
+
+    kind = "wrong-target"
+    may_have_started = False
+
+
 class AnswerTimeoutError(UpstreamError):
     """No answer arrived before the deadline."""
 
--- /dev/null
+++ b/packages/daemon/src/tanagerreachd/gateway/__init__.py
@@ -0,0 +1,33 @@
+"""A gateway instance: the fleet's homes decide, the platform's store lists targets and members."""
+
+from ._dialect import Dialect
+from ._home_server import RepeatAllowance
+from ._instance import Gateway
+from ._settings import GatewaySettings
+from ._sources import (
+    CallerLimits,
+    HistoryGoneError,
+    ListedTarget,
+    Listing,
+    OperatorState,
+    Platform,
+    Source,
+    SourceError,
+    StoredItem,
+)
+
+__all__ = [
+    "CallerLimits",
+    "Dialect",
+    "Gateway",
+    "GatewaySettings",
+    "HistoryGoneError",
+    "ListedTarget",
+    "Listing",
+    "OperatorState",
+    "Platform",
+    "RepeatAllowance",
+    "Source",
+    "SourceError",
+    "StoredItem",
+]
--- /dev/null
+++ b/packages/daemon/src/tanagerreachd/gateway/_dialect.py
@@ -0,0 +1,27 @@
+"""Names under which callers and targets of one platform send what the gateway has to know."""
+
+from dataclasses import dataclass
+
+from .._upstream import TargetDialect
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Dialect:
+    """Header names, given by the platform's adapter.
+
+    :param request_id: identifies one request of a caller, and its answer.
+    :param deadline_ms: time that the caller waits, and what of it is left for the target.
+    :param key: the caller's key; it is never passed on.
+    :param workspace: the key's workspace, set for the target.
+    :param expected_target: the name of the target that a request is meant for.
+    :param own_headers: names in lower case that callers cannot set for targets.
+    :param targets: how answers of targets are read.
+    """
+
+    request_id: str
+    deadline_ms: str
+    key: str
+    workspace: str
+    expected_target: str
+    own_headers: frozenset[str]
+    targets: TargetDialect
--- /dev/null
+++ b/packages/daemon/src/tanagerreachd/gateway/_followers.py
@@ -0,0 +1,305 @@
+"""Follows the operators' state and the targets' entries in the platform's store.
+
+Load pattern: each target writes its entry every heartbeat, so a watch of the entries returns all
+the time, and each call has a price. Only instances that place requests follow the entries; the
+others read a stale list now and then, to have one when the store is away. What operators write is
+rare and is followed by all.
+"""
+
+from collections.abc import Callable
+from random import Random
+
+import gevent
+from gevent.event import Event
+
+from .. import _clock
+from .._logs import InstanceLog
+from ._sources import HistoryGoneError, Listing, OperatorState, Platform, SourceError, StoredItem
+from ._target_directory import TargetDirectory
+
+OPERATOR_WAIT_S = 10.0
+"""Longest wait of a watch of the operators' state; peers tell of changes that it misses."""
+OPERATOR_PAUSE_S = 0.25
+"""Least time between two reads, which sums up configurations in quick succession."""
+TARGET_WAIT_S = 1.0
+TARGET_PAUSE_S = 0.45
+"""Time between two reads of changes; a target that leaves is avoided within a second."""
+TARGET_NEED_S = 10.0
+"""An instance follows the entries for this long after it last placed a request."""
+SPARE_LIST_INTERVAL_S = 4.0
+"""Interval at which an instance that places nothing reads a stale list."""
+FAILURE_PAUSE_MIN_S = 0.25
+FAILURE_PAUSE_MAX_S = 1.0
+
+
+class _Pause:
+    """Growing pause with jitter after failures, so that a store that returns is not flooded."""
+
+    __slots__ = ("_pause_s", "_random")
+
+    def __init__(self, random: Random) -> None:
+        self._random = random
+        self._pause_s = FAILURE_PAUSE_MIN_S
+
+    def reset(self) -> None:
+        self._pause_s = FAILURE_PAUSE_MIN_S
+
+    def next_s(self) -> float:
+        pause_s = self._pause_s
+        self._pause_s = min(FAILURE_PAUSE_MAX_S, 2 * pause_s)
+        return pause_s * self._random.uniform(0.5, 1.0)
+
+
+class _Availability:
+    """Logs once when a part of the store is lost, and once when it is regained."""
+
+    __slots__ = ("_is_lost", "_log", "_part", "_pause")
+
+    def __init__(self, *, part: str, log: InstanceLog, random: Random) -> None:
+        self._part = part
+        self._log = log
+        self._pause = _Pause(random)
+        self._is_lost = False
+
+    def answered(self) -> None:
+        self._pause.reset()
+        if self._is_lost:
+            self._is_lost = False
+            self._log.info("dependency regained", dependency="store", part=self._part)
+
+    def failed(self, error: SourceError) -> float:
+        if not self._is_lost:
+            self._is_lost = True
+            self._log.warning(
+                "dependency lost", dependency="store", part=self._part, reason=str(error)
+            )
+        return self._pause.next_s()
+
+
+class OperatorStateFollower:
+    """Keeps the operators' state in force; it never goes back to an older one.
+
+    :param on_state: called with each new state.
+    """
+
+    def __init__(
+        self,
+        *,
+        platform: Platform,
+        on_state: Callable[[OperatorState], None],
+        log: InstanceLog,
+        random: Random,
+    ) -> None:
+        self._platform = platform
+        self._source = platform.operator_items
+        self._on_state = on_state
+        self._log = log
+        self._availability = _Availability(part="operator state", log=log, random=random)
+        self._items: dict[str, StoredItem] = {}
+        self._revision = -1
+        self._version_told = -1
+        self._is_doubted = False
+        self._told = Event()
+        self._peer_listing: Callable[[], Listing | None] = lambda: None
+        self.state: OperatorState | None = None
+
+    def read_from_peers_by(self, read: Callable[[], Listing | None]) -> None:
+        """Set how to read the state from a peer while the store does not answer."""
+        self._peer_listing = read
+
+    @property
+    def version(self) -> int:
+        """Version of the state in force, -1 before there is one."""
+        return -1 if self.state is None else self.state.version
+
+    def told_of(self, version: int) -> None:
+        """Note that a peer has a state of this version in force."""
+        if version > max(self.version, self._version_told):
+            self._version_told = version
+            self._told.set()
+
+    def check(self) -> None:
+        """Read the state again, as connections to the store seem to have gone silent."""
+        self._is_doubted = True
+        self._told.set()
+
+    def listing(self) -> Listing:
+        """Return what is known, for a peer."""
+        return Listing(items=list(self._items.values()), revision=self._revision)
+
+    def run_read(self) -> None:
+        """Read the state once at start and whenever a peer has a newer one."""
+        if self._revision >= 0:
+            self._told.wait()
+            self._told.clear()
+            # A watch may bring it in the same moment.
+            gevent.sleep(OPERATOR_PAUSE_S)
+            if self._version_told <= self.version and not self._is_doubted:
+                return
+        self._is_doubted = False
+        try:
+            self._replace(self._source.read())
+            self._availability.answered()
+        except SourceError as error:
+            pause_s = self._availability.failed(error)
+            listing = self._peer_listing()
+            if listing is not None:
+                self._replace(listing)
+            gevent.sleep(pause_s)
+            if self._version_told > self.version:
+                self._told.set()
+
+    def run_watch(self) -> None:
+        """Wait for one change."""
+        if self._revision < 0:
+            gevent.sleep(OPERATOR_PAUSE_S)
+            return
+        try:
+            changes = self._source.wait(self._revision, OPERATOR_WAIT_S)
+        except HistoryGoneError:
+            self._log.info("store history gone", part="operator state", revision=self._revision)
+            self._reread()
+            return
+        except SourceError as error:
+            gevent.sleep(self._availability.failed(error))
+            self._reread()
+            return
+        self._availability.answered()
+        if changes.items:
+            self._update(changes)
+        self._revision = max(self._revision, changes.revision)
+        gevent.sleep(OPERATOR_PAUSE_S)
+
+    def _reread(self) -> None:
+        """Read everything, since a watch that failed may have missed changes."""
+        try:
+            self._replace(self._source.read())
+            self._availability.answered()
+        except SourceError as error:
+            gevent.sleep(self._availability.failed(error))
+
+    def _replace(self, listing: Listing) -> None:
+        if listing.revision < self._revision:
+            return
+        self._items = {item.key: item for item in listing.items}
+        self._revision = listing.revision
+        self._apply()
+
+    def _update(self, changes: Listing) -> None:
+        for item in changes.items:
+            known = self._items.get(item.key)
+            if known is not None and known.revision >= item.revision:
+                continue
+            self._items[item.key] = item
+        self._apply(max(item.revision for item in changes.items))
+
+    def _apply(self, version: int = -1) -> None:
+        present = [item for item in self._items.values() if item.value is not None]
+        version = max([version, *(item.revision for item in self._items.values())])
+        state = self._platform.decode_operator_state(Listing(items=present, revision=version))
+        if state is None:
+            self._log.warning("operator state not usable", revision=version)
+            return
+        current = self.state
+        if current is not None:
+            if state.configuration.revision < current.configuration.revision:
+                return
+            if state == current:
+                return
+        self.state = state
+        self._on_state(state)
+
+
+class TargetFollower:
+    """Keeps the directory of targets current while this instance places requests.
+
+    :param on_change: called after each change of the directory.
+    :param on_failure: called when the store did not answer.
+    """
+
+    def __init__(
+        self,
+        *,
+        platform: Platform,
+        directory: TargetDirectory,
+        on_change: Callable[[], None],
+        on_failure: Callable[[], None],
+        log: InstanceLog,
+        random: Random,
+    ) -> None:
+        self._source = platform.target_items
+        self._directory = directory
+        self._on_change = on_change
+        self._on_failure = on_failure
+        self._log = log
+        self._random = random
+        self._availability = _Availability(part="targets", log=log, random=random)
+        self._needed_until_s = float("-inf")
+        self._needed = Event()
+        self._is_following = False
+        self._peer_listing: Callable[[], Listing | None] = lambda: None
+
+    def read_from_peers_by(self, read: Callable[[], Listing | None]) -> None:
+        """Set how to read the entries from a peer while the store does not answer."""
+        self._peer_listing = read
+
+    @property
+    def is_current(self) -> bool:
+        """Whether the directory is being followed, or the store cannot say more."""
+        return self._is_following
+
+    def need(self) -> None:
+        """Note that this instance places requests now."""
+        self._needed_until_s = _clock.now_s() + TARGET_NEED_S
+        if not self._needed.is_set():
+            self._needed.set()
+
+    def run(self) -> None:
+        """Make one step: follow changes while that is needed, else refresh a spare list."""
+        if _clock.now_s() >= self._needed_until_s:
+            self._is_following = False
+            self._needed.clear()
+            if len(self._directory):
+                interval_s = SPARE_LIST_INTERVAL_S * self._random.uniform(0.8, 1.2)
+                self._needed.wait(interval_s)
+        is_needed = self._needed.is_set()
+        try:
+            if is_needed and self._is_following:
+                self._follow()
+            else:
+                self._read(allow_stale=not is_needed)
+                self._is_following = is_needed
+        except HistoryGoneError:
+            self._log.info("store history gone", part="targets", revision=self._directory.revision)
+            self._is_following = False
+        except SourceError as error:
+            self._fail(error)
+        if self._directory.drop_missing(_clock.now_s()):
+            self._on_change()
+
+    def _follow(self) -> None:
+        changes = self._source.wait(self._directory.revision, TARGET_WAIT_S)
+        self._availability.answered()
+        if self._directory.update(changes, _clock.now_s()):
+            self._on_change()
+        gevent.sleep(TARGET_PAUSE_S)
+
+    def _read(self, *, allow_stale: bool) -> None:
+        listing = self._source.read(allow_stale=allow_stale)
+        self._availability.answered()
+        if self._directory.replace(listing, _clock.now_s()):
+            self._on_change()
+
+    def _fail(self, error: SourceError) -> None:
+        self._directory.store_failed()
+        self._on_failure()
+        pause_s = self._availability.failed(error)
+        if not len(self._directory):
+            listing = self._peer_listing()
+            if listing is not None and self._directory.replace(listing, _clock.now_s()):
+                # What a peer knows is no answer of the store.
+                self._directory.store_failed()
+                self._on_change()
+        # Requests are placed by what is known, as the store cannot say more now.
+        self._is_following = self._needed.is_set() and len(self._directory) > 0
+        gevent.sleep(pause_s)
--- /dev/null
+++ b/packages/daemon/src/tanagerreachd/gateway/_home_server.py
@@ -0,0 +1,231 @@
+"""Answers the fleet's questions about the services and workspaces that are homed here."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import gevent
+from tanagerreach_core.config import Configuration, Resolver
+from tanagerreach_core.messages import (
+    PlacementAsk,
+    PlacementEnd,
+    PlacementReply,
+    PlacementState,
+    QuotaAsk,
+    QuotaReply,
+)
+from tanagerreach_core.placement import (
+    PlacementTarget,
+    RepeatBudget,
+    Roster,
+    ServicePlacement,
+    WorkspaceQuota,
+)
+from tanagerreach_core.rights import WorkspaceLimit
+
+from .. import _clock
+from .._logs import InstanceLog
+from ._target_directory import KnownTarget, TargetDirectory
+
+STEP_S = 0.02
+"""Interval at which waiting requests are looked at besides the ends of others."""
+RETURNED_DATA_CENTRE_S = 1.0
+"""Targets of a data centre that is taken back may be cold; their entries say so after a heartbeat,
+so until then they get no more than cold ones."""
+DIRECTORY_WAIT_S = 0.3
+"""Longest wait for the first list of targets after this instance became a home."""
+
+Reply = Callable[[PlacementReply], None]
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class RepeatAllowance:
+    """Bound on repeated requests to one service over all instances.
+
+    :param ratio: repeats for each first try.
+    :param allowance: repeats besides, in each window.
+    """
+
+    ratio: float
+    allowance: float
+    window_s: float
+
+
+class HomeServer:
+    """Places requests and counts quotas for the whole fleet.
+
+    :param resolver: returns the current lookups, ``None`` before there is a configuration.
+    :param need_targets: called when targets are needed.
+    :param is_current: whether the directory can be relied on.
+    """
+
+    def __init__(
+        self,
+        *,
+        resolver: Callable[[], Resolver | None],
+        roster: Roster,
+        directory: TargetDirectory,
+        need_targets: Callable[[], None],
+        is_current: Callable[[], bool],
+        repeats: RepeatAllowance,
+        heartbeat_s: float,
+        log: InstanceLog,
+    ) -> None:
+        self._resolver = resolver
+        self._roster = roster
+        self._directory = directory
+        self._need_targets = need_targets
+        self._is_current = is_current
+        self._repeats = repeats
+        self._heartbeat_s = heartbeat_s
+        self._log = log
+        self._services: dict[str, ServicePlacement] = {}
+        self._waiting: dict[str, dict[tuple[str, int], Reply]] = {}
+        self._quota = WorkspaceQuota()
+        self._returned_s: dict[str, float] = {}
+        self._out: frozenset[str] = frozenset()
+
+    def place(self, asker: str, ask: PlacementAsk, reply: Reply) -> None:
+        """Answer a question for a place, now and again when a waiting request gets its place."""
+        self._need_targets()
+        if not self._is_current():
+            gevent.spawn(self._place_when_current, asker, ask, reply)
+            return
+        self._place(asker, ask, reply)
+
+    def end(self, asker: str, message: PlacementEnd) -> None:
+        """Take in how a request ended."""
+        service = self._services.get(message.service)
+        if service is None:
+            return
+        key = (asker, message.ask_id)
+        now_s = _clock.now_s()
+        if not message.target:
+            service.withdraw(key)
+            self._waiting[message.service].pop(key, None)
+            return
+        event = service.end(
+            key, message.outcome, message.latency_ms / 1000.0, message.fingerprint, now_s
+        )
+        if event is not None:
+            self._log.info(
+                "target outcome",
+                service=message.service,
+                target=event.target,
+                outcome=event.outcome.name.lower(),
+                failing_before=round(event.failing_before, 3),
+                failing_after=round(event.failing_after, 3),
+            )
+        self._step(message.service, service, now_s)
+
+    def take_quota(self, ask: QuotaAsk, fleet_share: float | None = None) -> QuotaReply:
+        """Answer a question for one request of a workspace's quota.
+
+        :param fleet_share: part of the rate that may be issued here; by default the part of the
+            fleet that is heard.
+        """
+        resolver = self._resolver()
+        limit = None if resolver is None else resolver.limit_of(ask.workspace)
+        if limit is None:
+            return QuotaReply(ask_id=ask.ask_id, is_granted=True)
+        now_s = _clock.now_s()
+        if fleet_share is None:
+            fleet_share = self._roster.fleet_share(now_s)
+        wait_s = self._quota.take(
+            ask.workspace,
+            WorkspaceLimit(rate_per_s=limit.rate_per_s, burst=limit.burst),
+            fleet_share,
+            now_s,
+        )
+        return QuotaReply(
+            ask_id=ask.ask_id, is_granted=wait_s == 0, retry_after_ms=int(1000 * wait_s)
+        )
+
+    def apply_configuration(self, configuration: Configuration) -> None:
+        """Take in a new configuration."""
+        out = frozenset(name for name, item in configuration.data_centres.items() if item.out)
+        for name in self._out - out:
+            self._returned_s[name] = _clock.now_s()
+        self._out = out
+        self._quota.keep_only(set(configuration.workspaces))
+        for name in set(self._services) - set(configuration.services):
+            del self._services[name]
+        self.targets_changed()
+
+    def targets_changed(self) -> None:
+        """Take in the targets as they are now."""
+        now_s = _clock.now_s()
+        for name, service in self._services.items():
+            service.configure(self._targets(name, now_s), now_s)
+            self._step(name, service, now_s)
+
+    def run(self) -> None:
+        """Look at the waiting requests once."""
+        now_s = _clock.now_s()
+        for name, service in list(self._services.items()):
+            if len(service):
+                self._step(name, service, now_s)
+        gevent.sleep(STEP_S)
+
+    def _place_when_current(self, asker: str, ask: PlacementAsk, reply: Reply) -> None:
+        ends_s = _clock.now_s() + DIRECTORY_WAIT_S
+        while not self._is_current() and _clock.now_s() < ends_s:
+            gevent.sleep(STEP_S / 4)
+        self._place(asker, ask, reply)
+
+    def _place(self, asker: str, ask: PlacementAsk, reply: Reply) -> None:
+        now_s = _clock.now_s()
+        service = self._services.get(ask.service)
+        if service is None:
+            service = self._add_service(ask.service, now_s)
+        key = (asker, ask.ask_id)
+        answer = service.ask(key, ask, now_s)
+        waiting = self._waiting[ask.service]
+        if answer.state is PlacementState.QUEUED:
+            waiting[key] = reply
+        else:
+            waiting.pop(key, None)
+        reply(answer)
+
+    def _add_service(self, name: str, now_s: float) -> ServicePlacement:
+        service = self._services[name] = ServicePlacement(
+            repeats=RepeatBudget(
+                ratio=self._repeats.ratio,
+                allowance=self._repeats.allowance,
+                window_s=self._repeats.window_s,
+            )
+        )
+        self._waiting[name] = {}
+        service.configure(self._targets(name, now_s), now_s)
+        self._log.info("service homed here", service=name, target_count=len(self._directory))
+        return service
+
+    def _step(self, name: str, service: ServicePlacement, now_s: float) -> None:
+        for request, answer in service.step(now_s):
+            reply = self._waiting[name].pop(request.key, None)
+            if reply is not None:
+                reply(answer)
+
+    def _targets(self, service: str, now_s: float) -> list[PlacementTarget]:
+        resolver = self._resolver()
+        if resolver is None:
+            return []
+        configured = resolver.configuration.services.get(service)
+        cold_rate_per_s = 0.0 if configured is None else configured.cold_rate_per_s
+        return [
+            PlacementTarget(
+                name=known.target.name,
+                address=known.target.address,
+                data_centre=known.target.data_centre,
+                slot_count=known.target.slot_count,
+                cold_until_s=self._cold_until_s(known, now_s),
+                cold_rate_per_s=cold_rate_per_s,
+            )
+            for known in self._directory.of_service(service)
+            if known.target.data_centre not in self._out
+        ]
+
+    def _cold_until_s(self, known: KnownTarget, now_s: float) -> float:
+        returned_s = self._returned_s.get(known.target.data_centre)
+        if returned_s is None:
+            return known.cold_until_s
+        return max(known.cold_until_s, returned_s + self._heartbeat_s + RETURNED_DATA_CENTRE_S)
--- /dev/null
+++ b/packages/daemon/src/tanagerreachd/gateway/_instance.py
@@ -0,0 +1,451 @@
+"""One gateway instance: builds its parts, runs their loops, and stops gracefully."""
+
+import signal
+import time
+from random import Random
+from typing import Any
+
+import gevent
+from gevent.event import Event
+from gevent.pywsgi import WSGIServer
+from tanagerreach_core.config import Resolver
+from tanagerreach_core.messages import (
+    Borrower,
+    Heartbeat,
+    PlacementAsk,
+    PlacementEnd,
+    PlacementReply,
+    QuotaAsk,
+    QuotaReply,
+    Received,
+)
+from tanagerreach_core.placement import Roster
+
+from .. import _clock
+from .._caller_watch import CallerWatch
+from .._http_server import CallerServer, HttpLimits, PromptHandler
+from .._listeners import binding
+from .._logs import InstanceLog
+from .._loops import Loops
+from .._metrics import Metrics
+from .._peer_codec import PeerCodec
+from .._peer_link import PeerLink
+from .._refusals import render_bare, render_failure
+from .._timeline import HybridClock
+from .._upstream import UpstreamClient
+from ._application import GatewayApplication
+from ._dialect import Dialect
+from ._followers import OperatorStateFollower, TargetFollower
+from ._home_server import HomeServer
+from ._peer_calls import PeerCalls
+from ._peer_state import (
+    OPERATOR_PATH,
+    TARGET_PATH,
+    PeerStateClient,
+    PeerStateServer,
+)
+from ._pipelined_requests import PipelinedRequest
+from ._placement_client import PlacementClient
+from ._request_log import RequestLog
+from ._settings import GatewaySettings
+from ._sources import CallerLimits, OperatorState, Platform, SourceError
+from ._target_directory import TargetDirectory
+
+CONNECT_TIMEOUT_S = 0.3
+"""A target in the same region accepts within a few milliseconds; a lost packet is sent again by the
+kernel after 0.2 s."""
+TARGET_SILENCE_S = 30.0
+HEARTBEAT_S = 0.8
+HEARTBEATS_PER_S_MAX = 100.0
+"""Bounds the heartbeats that an instance of a large fleet sends."""
+REGISTRATION_INTERVAL_S = 180.0
+"""Entries of instances last for ten minutes."""
+REGISTRATION_RETRY_S = 0.7
+MEMBERS_REREAD_S = (1.5, 5.0)
+"""Instances that start together may each read the list before the others have written."""
+LONE_START_S = 3.0
+"""An instance that hears of no peer and no store for this long serves alone."""
+NOTICE_S = 3.0
+"""The load balancer looks each second and takes an instance out after two misses."""
+STOP_MARGIN_S = 0.7
+STOP_POLL_S = 0.02
+SWEEP_S = 2.0
+DEFAULT_LIMITS = CallerLimits(
+    header_bytes=16 * 1024, body_bytes=64 * 1024 * 1024, header_time_s=3.0, idle_time_s=15.0
+)
+
+
+class Gateway:
+    """One instance.
+
+    :param dialect: names that callers and targets use.
+    :param platform: the platform's store.
+    :raises AddressError: when an address cannot be bound.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: GatewaySettings,
+        platform: Platform,
+        dialect: Dialect,
+        log: InstanceLog,
+    ) -> None:
+        self._settings = settings
+        self._platform = platform
+        self._log = log
+        self._random = Random()
+        self._stopping = Event()
+        self._is_leaving = False
+        self._knows_members = False
+        self._is_ready_told = False
+        self._started_s = _clock.now_s()
+        self._resolver: Resolver | None = None
+        self._limits = DEFAULT_LIMITS
+        self._loops = Loops(on_failure=log.failure)
+        self._metrics = Metrics()
+        self._roster = Roster(own_name=settings.instance_name)
+        self._roster.own_is_home = False
+        self._build_peers()
+        self._build_store()
+        self._build_homes()
+        self._build_listeners(dialect)
+
+    def run(self) -> None:
+        """Serve until SIGTERM or SIGINT, then stop gracefully.
+
+        :raises AddressError: when an address cannot be bound.
+        """
+        for signal_number in (signal.SIGTERM, signal.SIGINT):
+            gevent.signal_handler(signal_number, self._stopping.set)
+        gevent.signal_handler(signal.SIGHUP, self._on_reload)
+        self._start()
+        self._stopping.wait()
+        self._stop()
+
+    # Parts
+
+    def _build_peers(self) -> None:
+        settings = self._settings
+        with binding("peer_udp_port", settings.peer_udp_port):
+            self._link = PeerLink(
+                address=self._peer_address(settings.host),
+                sender=Borrower(
+                    instance_id=settings.instance_name, incarnation=int(time.time() * 1000)
+                ),
+                codec=PeerCodec(secret=settings.fleet_secret.encode()),
+                clock=HybridClock(),
+            )
+        self._calls = PeerCalls(send=self._link.send)
+        self._peer_states = PeerStateClient(addresses=self._state_addresses, log=self._log)
+
+    def _build_store(self) -> None:
+        self._operators = OperatorStateFollower(
+            platform=self._platform,
+            on_state=self._apply_state,
+            log=self._log,
+            random=self._random,
+        )
+        self._operators.read_from_peers_by(lambda: self._peer_states.read(OPERATOR_PATH))
+        self._directory = TargetDirectory(decode=self._platform.decode_target)
+        self._targets = TargetFollower(
+            platform=self._platform,
+            directory=self._directory,
+            on_change=lambda: self._homes.targets_changed(),
+            on_failure=self._operators.check,
+            log=self._log,
+            random=self._random,
+        )
+        self._targets.read_from_peers_by(lambda: self._peer_states.read(TARGET_PATH))
+
+    def _build_homes(self) -> None:
+        self._homes = HomeServer(
+            resolver=lambda: self._resolver,
+            roster=self._roster,
+            directory=self._directory,
+            need_targets=self._targets.need,
+            is_current=lambda: self._targets.is_current,
+            repeats=self._settings.repeats,
+            heartbeat_s=self._settings.target_heartbeat_s,
+            log=self._log,
+        )
+        self._places = PlacementClient(
+            own_name=self._settings.instance_name,
+            roster=self._roster,
+            calls=self._calls,
+            homes=self._homes,
+            log=self._log,
+        )
+
+    def _build_listeners(self, dialect: Dialect) -> None:
+        settings = self._settings
+        self._watch = CallerWatch()
+        self._upstream = UpstreamClient(
+            connect_timeout_s=CONNECT_TIMEOUT_S,
+            idle_timeout_s=TARGET_SILENCE_S,
+            dialect=dialect.targets,
+        )
+        application = GatewayApplication(
+            own_data_centre=settings.data_centre,
+            dialect=dialect,
+            resolver=lambda: self._resolver,
+            limits=lambda: self._limits,
+            places=self._places,
+            upstream=self._upstream,
+            watch=self._watch,
+            log=RequestLog(log=self._log, metrics=self._metrics),
+        )
+        self._callers = CallerServer(
+            listener=(settings.callers_address.host, settings.callers_address.port),
+            application=application,
+            limits=_http_limits(DEFAULT_LIMITS),
+            render_refusal=lambda error: render_bare(
+                error.status, "request-not-valid", error.detail
+            ),
+            on_refused=lambda error: self._log.info(
+                "request refused", status=error.status, reason=error.detail
+            ),
+            on_failure=self._log.failure,
+            failure_response=render_failure(),
+            handler_class=PipelinedRequest,
+        )
+        self._ready_server = _small_server(
+            (settings.ready_address.host, settings.ready_address.port), self._answer_ready
+        )
+        self._metrics_server = _small_server(
+            (settings.host, settings.metrics_port), self._answer_metrics
+        )
+        self._state_server = PeerStateServer(
+            address=(settings.host, settings.peer_http_port),
+            listings={
+                OPERATOR_PATH: self._operators.listing,
+                TARGET_PATH: self._directory.listing,
+            },
+        )
+
+    # Start and stop
+
+    def _start(self) -> None:
+        settings = self._settings
+        with binding("peer_http_port", settings.peer_http_port):
+            self._state_server.start()
+        with binding("metrics_port", settings.metrics_port):
+            self._metrics_server.start()
+        with binding("callers_address", settings.callers_address):
+            self._callers.start()
+        with binding("ready_address", settings.ready_address):
+            self._ready_server.start()
+        self._link.start(self._on_message, self._log.failure)
+        now_s = _clock.now_s()
+        for host in settings.peer_seed_hosts:
+            if host != settings.host:
+                self._send_heartbeat(self._peer_address(host), {})
+        self._log.info("instance started", data_centre=settings.data_centre, started_s=now_s)
+        self._loops.start(self._operators.run_read)
+        self._loops.start(self._operators.run_watch)
+        self._loops.start(self._targets.run)
+        self._loops.start(self._homes.run)
+        self._loops.start(self._beat)
+        self._loops.start(self._watch.run)
+        self._loops.start(self._sweep, SWEEP_S)
+        gevent.spawn(self._register)
+
+    def _stop(self) -> None:
+        stopped_s = _clock.now_s()
+        self._is_leaving = True
+        self._roster.own_is_home = False
+        self._log.info("instance stops", active_count=self._callers.active_count)
+        self._tell_peers()
+        self._callers.begin_drain()
+        self._callers.close_idle_connections()
+        gevent.sleep(NOTICE_S)
+        self._tell_peers()
+        self._callers.close_listener()
+        ends_s = stopped_s + self._settings.stop_limit_s - STOP_MARGIN_S
+        while self._callers.active_count and _clock.now_s() < ends_s:
+            self._callers.close_idle_connections()
+            gevent.sleep(STOP_POLL_S)
+        self._log.info("instance stopped", unfinished_count=self._callers.active_count)
+        self._loops.stop()
+        self._link.stop()
+
+    def _on_reload(self) -> None:
+        # Nothing in the settings may change while an instance runs; limits come with the
+        # configuration.
+        self._log.info("settings reload ignored", reason="no setting can change at run time")
+
+    def _register(self) -> None:
+        """Make this instance known, and learn the others, until both were confirmed."""
+        rereads = list(MEMBERS_REREAD_S)
+        is_registered = False
+        while not self._is_leaving:
+            pause_s = REGISTRATION_RETRY_S * self._random.uniform(0.7, 1.3)
+            try:
+                if not is_registered:
+                    self._platform.register(
+                        self._settings.instance_name, self._peer_address(self._settings.host)
+                    )
+                    is_registered = True
+                self._learn(self._platform.members())
+                pause_s = rereads.pop(0) if rereads else REGISTRATION_INTERVAL_S
+                # After the long pause the entry is renewed before the list is read.
+                is_registered = pause_s < REGISTRATION_INTERVAL_S
+            except SourceError as error:
+                self._log.debug("not registered", reason=str(error))
+            gevent.sleep(pause_s)
+
+    # Peers
+
+    def _peer_address(self, host: str) -> str:
+        return f"{host}:{self._settings.peer_udp_port}"
+
+    def _state_addresses(self) -> list[str]:
+        now_s = _clock.now_s()
+        hosts = [
+            peer.address.rpartition(":")[0]
+            for peer in self._roster.peers
+            if self._roster.is_live(peer, now_s)
+        ]
+        self._random.shuffle(hosts)
+        hosts += [host for host in self._settings.peer_seed_hosts if host not in hosts]
+        own = self._settings.host
+        return [f"{host}:{self._settings.peer_http_port}" for host in hosts if host != own]
+
+    def _learn(self, members: dict[str, str]) -> None:
+        now_s = _clock.now_s()
+        self._knows_members = True
+        for name, address in members.items():
+            if self._roster.learn(name, address, now_s):
+                self._send_heartbeat(address, {})
+
+    def _beat(self) -> None:
+        self._tell_peers()
+        interval_s = max(HEARTBEAT_S, len(self._roster.peers) / HEARTBEATS_PER_S_MAX)
+        gevent.sleep(interval_s * self._random.uniform(0.9, 1.1))
+
+    def _tell_peers(self) -> None:
+        for peer in self._roster.peers:
+            self._send_heartbeat(peer.address, {})
+
+    def _send_heartbeat(self, address: str, known_peers: dict[str, str]) -> None:
+        self._link.send(
+            address,
+            Heartbeat(
+                address=self._peer_address(self._settings.host),
+                data_centre=self._settings.data_centre,
+                is_leaving=self._is_leaving,
+                is_serving=self._resolver is not None,
+                configuration_version=self._operators.version,
+                known_peers=known_peers,
+            ),
+        )
+
+    def _on_message(self, sender: Borrower, source: tuple[str, int], message: Any) -> None:
+        address = f"{source[0]}:{source[1]}"
+        name = sender.instance_id
+        if isinstance(message, Heartbeat):
+            self._on_heartbeat(name, message)
+        elif isinstance(message, PlacementAsk):
+            self._homes.place(name, message, lambda reply: self._link.send(address, reply))
+        elif isinstance(message, PlacementEnd):
+            self._link.send(address, Received(ask_id=message.ask_id))
+            self._homes.end(name, message)
+        elif isinstance(message, QuotaAsk):
+            self._link.send(address, self._homes.take_quota(message))
+        elif isinstance(message, Received):
+            self._calls.confirmed(message.ask_id)
+        elif isinstance(message, QuotaReply):
+            self._calls.deliver(message)
+        elif isinstance(message, PlacementReply) and not self._calls.deliver(message):
+            self._places.discard(address, message)
+
+    def _on_heartbeat(self, name: str, message: Heartbeat) -> None:
+        if name == self._settings.instance_name:
+            return
+        now_s = _clock.now_s()
+        peer, was_silent = self._roster.heard(name, message.address, now_s)
+        was_serving = peer.is_serving and not peer.is_leaving
+        peer.data_centre = message.data_centre
+        peer.is_leaving = message.is_leaving
+        peer.is_serving = message.is_serving
+        peer.configuration_version = message.configuration_version
+        if message.known_peers:
+            self._learn(message.known_peers)
+        self._operators.told_of(message.configuration_version)
+        is_serving = message.is_serving and not message.is_leaving
+        if was_silent and not message.is_leaving:
+            known = {entry.name: entry.address for entry in self._roster.peers}
+            self._send_heartbeat(message.address, known)
+            self._log.info("dependency regained", dependency="peer", peer=name)
+        elif was_serving != is_serving:
+            self._log.info("peer changed", peer=name, is_serving=is_serving)
+
+    # State
+
+    def _apply_state(self, state: OperatorState) -> None:
+        self._resolver = Resolver(state.configuration, self._resolver)
+        limits = state.caller_limits
+        # Callers may keep to the longer of two idle times for a while after it was changed.
+        idle_time_s = max(limits.idle_time_s, self._limits.idle_time_s)
+        self._limits = CallerLimits(
+            header_bytes=limits.header_bytes,
+            body_bytes=limits.body_bytes,
+            header_time_s=limits.header_time_s,
+            idle_time_s=idle_time_s,
+        )
+        self._callers.limits = _http_limits(self._limits)
+        self._roster.own_is_home = not self._is_leaving
+        self._homes.apply_configuration(state.configuration)
+        self._log.info(
+            "configuration in force",
+            revision=state.configuration.revision,
+            version=state.version,
+            data_centres_out=sorted(
+                name for name, item in state.configuration.data_centres.items() if item.out
+            ),
+        )
+        self._tell_peers()
+
+    def _sweep(self) -> None:
+        now_s = _clock.now_s()
+        for name in self._roster.forget_silent(now_s):
+            self._log.info("peer forgotten", peer=name)
+        self._upstream.drop_old()
+
+    # Small listeners
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the load balancer may send requests."""
+        if self._is_leaving or self._resolver is None:
+            return False
+        if self._knows_members and len(self._directory):
+            return True
+        return _clock.now_s() - self._started_s > LONE_START_S
+
+    def _answer_ready(self, environ: dict[str, Any], start_response: Any) -> list[bytes]:
+        status = "200 OK" if self.is_ready else "503 Service Unavailable"
+        if self.is_ready and not self._is_ready_told:
+            self._is_ready_told = True
+            self._log.info("instance ready", after_s=round(_clock.now_s() - self._started_s, 2))
+        start_response(status, [("Content-Length", "0")])
+        return []
+
+    def _answer_metrics(self, environ: dict[str, Any], start_response: Any) -> list[bytes]:
+        body = self._metrics.to_prometheus().encode()
+        start_response(
+            "200 OK", [("Content-Type", "text/plain"), ("Content-Length", str(len(body)))]
+        )
+        return [body]
+
+
+def _small_server(address: tuple[str, int], application: Any) -> WSGIServer:
+    return WSGIServer(address, application, log=None, error_log=None, handler_class=PromptHandler)
+
+
+def _http_limits(limits: CallerLimits) -> HttpLimits:
+    return HttpLimits(
+        header_bytes=limits.header_bytes,
+        header_time_s=limits.header_time_s,
+        idle_time_s=limits.idle_time_s,
+    )
--- /dev/null
+++ b/packages/daemon/src/tanagerreachd/gateway/_peer_state.py
@@ -0,0 +1,105 @@
+"""Passes what an instance read from the platform's store on to peers that cannot reach it.
+
+Load pattern: the store is down, or turns some instances away, when instances start or when
+operators change something. Peers that have the state answer over HTTP.
+"""
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import msgspec
+import urllib3
+from gevent.pywsgi import WSGIServer
+
+from .._http_server import PromptHandler
+from .._logs import InstanceLog
+from ._sources import Listing, StoredItem
+
+OPERATOR_PATH = "/operator-items"
+TARGET_PATH = "/target-items"
+TIMEOUT_S = 0.5
+MAX_PEERS_ASKED = 3
+STATUS_OK = 200
+
+
+class _Item(msgspec.Struct, array_like=True):
+    key: str
+    value: bytes | None
+    revision: int
+
+
+class _Items(msgspec.Struct, array_like=True):
+    items: list[_Item]
+    revision: int
+
+
+class PeerStateServer:
+    """Serves this instance's listings to peers.
+
+    :param listings: what is known, by path.
+    """
+
+    def __init__(
+        self, *, address: tuple[str, int], listings: dict[str, Callable[[], Listing]]
+    ) -> None:
+        self._listings = listings
+        self._server = WSGIServer(
+            address, self._answer, log=None, error_log=None, handler_class=PromptHandler
+        )
+
+    def start(self) -> None:
+        """Open the listener.
+
+        :raises OSError: when the address cannot be bound.
+        """
+        self._server.start()
+
+    def stop(self) -> None:
+        """Close the listener."""
+        self._server.stop(timeout=0)
+
+    def _answer(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        read = self._listings.get(environ["PATH_INFO"])
+        listing = None if read is None else read()
+        if listing is None or listing.revision < 0:
+            start_response("404 Not Found", [("Content-Length", "0")])
+            return []
+        items = [_Item(item.key, item.value, item.revision) for item in listing.items]
+        body = msgspec.msgpack.encode(_Items(items, listing.revision))
+        start_response("200 OK", [("Content-Length", str(len(body)))])
+        return [body]
+
+
+class PeerStateClient:
+    """Reads listings from peers.
+
+    :param addresses: returns addresses of live peers' state servers, best first.
+    """
+
+    def __init__(self, *, addresses: Callable[[], list[str]], log: InstanceLog) -> None:
+        self._addresses = addresses
+        self._log = log
+        self._pool = urllib3.PoolManager(maxsize=1, retries=False)
+
+    def read(self, path: str) -> Listing | None:
+        """Read a listing from the first peer that has one."""
+        for address in self._addresses()[:MAX_PEERS_ASKED]:
+            try:
+                response = self._pool.request(
+                    "GET", f"http://{address}{path}", timeout=TIMEOUT_S, retries=False
+                )
+                if response.status != STATUS_OK:
+                    continue
+                found = msgspec.msgpack.decode(response.data, type=_Items)
+            except (urllib3.exceptions.HTTPError, msgspec.DecodeError) as error:
+                self._log.info("peer gave no state", peer=address, path=path, reason=str(error))
+                continue
+            items = [
+                StoredItem(key=item.key, value=item.value, revision=item.revision)
+                for item in found.items
+            ]
+            self._log.info("state read from a peer", peer=address, path=path)
+            return Listing(items=items, revision=found.revision)
+        return None
--- /dev/null
+++ b/packages/daemon/src/tanagerreachd/gateway/_request.py
@@ -0,0 +1,146 @@
+"""One caller's request at a gateway instance."""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from tanagerreach_core.config import RouteMatch, Workspace
+from tanagerreach_core.messages import PlacementAsk
+from tanagerreach_core.traffic import Executed, Outcome, Try, executed, fingerprint
+
+from .._caller_body import CallerBody
+from .._upstream import HOP_BY_HOP_HEADERS
+from ._dialect import Dialect
+
+MS_PER_S = 1000.0
+LONGEST_WAIT_S = 30.0
+"""Deadline of a caller that sends none, on a route without a time limit."""
+MAX_DEADLINE_DIGITS = 9
+DEFAULT_MAX_TRIES = 2
+OPEN_WORKSPACE = ""
+
+
+@dataclass(slots=True, kw_only=True)
+class GatewayRequest:
+    """What is known of a request.
+
+    :param caller_deadline_s: time until which the caller waits.
+    :param answer_by_s: time by which it has to be answered, also by the route's limit.
+    :param objective_s: time by which an answer has its full value.
+    """
+
+    environ: dict[str, Any]
+    request_id: str
+    match: RouteMatch
+    workspace: Workspace | None
+    key_text: str | None
+    body: CallerBody
+    arrived_s: float
+    caller_deadline_s: float
+    answer_by_s: float
+    objective_s: float
+    tries: list[Try] = field(default_factory=list)
+    crash_key: bytes = b""
+
+    @property
+    def method(self) -> str:
+        """HTTP method."""
+        return self.environ["REQUEST_METHOD"]
+
+    @property
+    def raw_target(self) -> str:
+        """Path and query as the caller sent them."""
+        return self.environ["tanagerreach.raw_target"]
+
+    @property
+    def workspace_name(self) -> str:
+        """Name of the workspace, empty on an open route."""
+        return OPEN_WORKSPACE if self.workspace is None else self.workspace.name
+
+    @property
+    def service_name(self) -> str:
+        """Name of the service that the route sends this request to."""
+        return self.match.service.name
+
+    @property
+    def max_tries(self) -> int:
+        """Targets that the request may be sent to at most."""
+        return self.match.route.max_tries or DEFAULT_MAX_TRIES
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a target may have begun to work on it."""
+        return executed(self.tries) is not Executed.NOT_RUN
+
+    @property
+    def priority(self) -> int:
+        """Rank while requests wait; 0 is the highest."""
+        workspace = self.workspace
+        if workspace is not None and workspace.priority is not None:
+            return workspace.priority
+        return self.match.route.priority
+
+    def prepare(self) -> None:
+        """Compute what takes the body; it has to be read first."""
+        self.crash_key = fingerprint(
+            workspace=self.workspace_name,
+            route=self.match.route.name,
+            method=self.method,
+            path=self.raw_target,
+            body_hash=self.body.digest(),
+        )
+
+    def ask(self, ask_id: int, data_centre: str, now_s: float) -> PlacementAsk:
+        """Build the question for a place."""
+        return PlacementAsk(
+            ask_id=ask_id,
+            service=self.service_name,
+            workspace=self.workspace_name,
+            priority=self.priority,
+            remaining_ms=int(MS_PER_S * (self.answer_by_s - now_s)),
+            objective_ms=int(MS_PER_S * (self.objective_s - now_s)),
+            is_repeatable=self.match.idempotent,
+            is_repeat=bool(self.tries),
+            data_centre=data_centre,
+            fingerprint=self.crash_key,
+            excluded=[entry.target for entry in self.tries],
+        )
+
+    def note_try(self, target: str, outcome: Outcome) -> None:
+        """Record how a try ended."""
+        self.tries.append(Try(target=target, outcome=outcome))
+
+    def target_headers(self, dialect: Dialect, target: str, now_s: float) -> dict[str, str]:
+        """Build the headers for a target; none of them holds the caller's key."""
+        given = self.environ["tanagerreach.handler"].headers
+        nominated = {name.strip().lower() for name in given.get("Connection", "").split(",")}
+        dropped = HOP_BY_HOP_HEADERS | dialect.own_headers | nominated
+        dropped |= {"content-length", "expect"}
+        headers: dict[str, str] = {}
+        for name, value in given.items():
+            if name.lower() not in dropped:
+                headers[name] = f"{headers[name]}, {value}" if name in headers else value
+        headers[dialect.request_id] = self.request_id
+        left_ms = int(MS_PER_S * (min(self.caller_deadline_s, self.answer_by_s) - now_s))
+        headers[dialect.deadline_ms] = str(max(1, left_ms))
+        headers[dialect.expected_target] = target
+        if self.workspace is not None:
+            headers[dialect.workspace] = self.workspace.name
+        self._add_length(headers)
+        return headers
+
+    def _add_length(self, headers: dict[str, str]) -> None:
+        body = self.body
+        if body.buffered is not None:
+            if body.buffered or self.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
+                headers["Content-Length"] = str(len(body.buffered))
+        elif body.content_length is not None:
+            headers["Content-Length"] = str(body.content_length)
+        else:
+            headers["Transfer-Encoding"] = "chunked"
+
+
+def caller_wait_s(deadline_text: str) -> float:
+    """Return how long the caller waits, by its header."""
+    if deadline_text.isdecimal():
+        return int(deadline_text[:MAX_DEADLINE_DIGITS]) / MS_PER_S
+    return LONGEST_WAIT_S
--- /dev/null
+++ b/packages/daemon/src/tanagerreachd/gateway/_request_log.py
@@ -0,0 +1,126 @@
+"""Log lines and metrics of requests; lines of served requests are bounded, failed ones first."""
+
+from typing import Any
+
+from tanagerreach_core.traffic import Outcome
+
+from .. import _clock
+from .._logs import InstanceLog
+from .._metrics import Metrics
+from .._refusals import RefusalError
+from .._upstream_errors import UpstreamError
+
+SERVED_LINES_PER_S = 10.0
+"""Lines for requests that went well; the rest is counted."""
+FAILED_LINES_PER_S = 100.0
+
+
+class _LineBudget:
+    __slots__ = ("_level", "_rate_per_s", "_updated_s", "dropped_count")
+
+    def __init__(self, rate_per_s: float) -> None:
+        self._rate_per_s = rate_per_s
+        self._level = rate_per_s
+        self._updated_s = _clock.now_s()
+        self.dropped_count = 0
+
+    def take(self) -> bool:
+        now_s = _clock.now_s()
+        grown = (now_s - self._updated_s) * self._rate_per_s
+        self._level = min(self._rate_per_s, self._level + grown)
+        self._updated_s = now_s
+        if self._level < 1:
+            self.dropped_count += 1
+            return False
+        self._level -= 1
+        return True
+
+
+class RequestLog:
+    """Writes what was decided about requests, and counts it."""
+
+    def __init__(self, *, log: InstanceLog, metrics: Metrics) -> None:
+        self._log = log
+        self._served = _LineBudget(SERVED_LINES_PER_S)
+        self._failed = _LineBudget(FAILED_LINES_PER_S)
+        self._answers = metrics.counter(
+            "tanagerreach_answers_total", "Answers of targets passed on", ("service", "status")
+        )
+        self._refusals = metrics.counter(
+            "tanagerreach_refusals_total", "Requests without an answer", ("reason", "status")
+        )
+        self._tries = metrics.counter(
+            "tanagerreach_tries_total", "Tries at targets", ("service", "outcome")
+        )
+        self._latency = metrics.latency(
+            "tanagerreach_request_seconds", "Time from a request to its answer", ("service",)
+        )
+        metrics.gauge(
+            "tanagerreach_log_lines_dropped",
+            "Log lines of requests that were not written",
+            lambda: self._served.dropped_count + self._failed.dropped_count,
+        )
+
+    def tried(
+        self,
+        request: Any,
+        place: Any,
+        outcome: Outcome,
+        took_s: float,
+        failure: UpstreamError | None,
+    ) -> None:
+        """Note how one try at a target ended."""
+        self._tries.add(1, request.service_name, outcome.name.lower())
+        if outcome is Outcome.SUCCESS or not self._failed.take():
+            return
+        self._log.info(
+            "try failed",
+            request_id=request.request_id,
+            service=request.service_name,
+            target=place.reply.target,
+            placed_by="" if place.home is None else place.home.name,
+            outcome=outcome.name.lower(),
+            reason="" if failure is None else failure.detail,
+            took_ms=int(1000 * took_s),
+            try_number=len(request.tries),
+        )
+
+    def answered(self, request: Any, status: int, now_s: float) -> None:
+        """Note an answer that is passed on."""
+        took_s = now_s - request.arrived_s
+        self._answers.add(1, request.service_name, str(status))
+        self._latency.record(took_s, request.service_name)
+        if not self._served.take():
+            return
+        self._log.info(
+            "request answered",
+            request_id=request.request_id,
+            route=request.match.route.name,
+            workspace=request.workspace_name,
+            service=request.service_name,
+            target=request.tries[-1].target,
+            status=status,
+            took_ms=int(1000 * took_s),
+            try_count=len(request.tries),
+            revision=request.environ["tanagerreach.revision"],
+        )
+
+    def refused(self, refusal: RefusalError, request_id: str, took_s: float) -> None:
+        """Note a request that gets no target's answer."""
+        self._refusals.add(1, refusal.kind, str(refusal.status.value))
+        if self._failed.take():
+            self._log.info(
+                "request refused",
+                request_id=request_id,
+                status=refusal.status.value,
+                reason=refusal.kind,
+                executed=refusal.executed.value,
+                retry_after_s=refusal.retry_after_s,
+                took_ms=int(1000 * took_s),
+            )
+
+    def gone(self, request_id: str, took_s: float) -> None:
+        """Note a request whose caller left."""
+        self._refusals.add(1, "caller-gone", "0")
+        if self._failed.take():
+            self._log.info("caller gone", request_id=request_id, took_ms=int(1000 * took_s))
--- /dev/null
+++ b/packages/daemon/src/tanagerreachd/gateway/_settings.py
@@ -0,0 +1,32 @@
+"""Settings of a gateway instance."""
+
+from dataclasses import dataclass
+
+from .._option_kinds import Address
+from ._home_server import RepeatAllowance
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class GatewaySettings:
+    """What an instance has to know at its start.
+
+    :param peer_udp_port: port of the datagrams between instances, the same on all machines.
+    :param peer_http_port: port of the state server, the same on all machines.
+    :param peer_seed_hosts: hosts of some instances, which may be down.
+    :param stop_limit_s: time from SIGTERM until the process is killed.
+    """
+
+    instance_name: str
+    data_centre: str
+    host: str
+    callers_address: Address
+    ready_address: Address
+    peer_udp_port: int
+    peer_http_port: int
+    metrics_port: int
+    peer_seed_hosts: tuple[str, ...]
+    fleet_secret: str
+    repeats: RepeatAllowance
+    target_heartbeat_s: float
+    stop_limit_s: float
+    log_level: str = "info"
--- /dev/null
+++ b/packages/daemon/src/tanagerreachd/targets.py
@@ -0,0 +1,5 @@
+"""How targets of a platform are spoken to."""
+
+from ._upstream import TargetDialect
+
+__all__ = ["TargetDialect"]
