Tell waiting requests of places that a newcomer's question decided

Cause: ServicePlacement.ask ran a step for its own request and dropped what that step decided for others, so they learnt of their places 0.4 s later, when they asked again; the slot was held empty meanwhile. Ruled out: the cold window and the doubt limit, by the order of the grants.

--- a/packages/core/src/tanagerreach_core/_placement.py
+++ b/packages/core/src/tanagerreach_core/_placement.py
@@ -105,6 +105,7 @@
         "_placed",
         "_repeats",
         "_targets",
+        "_undelivered",
         "service_time_s",
     )
 
@@ -116,11 +117,17 @@
         self._placed: dict[tuple[str, int], _Placed] = {}
         # Answers to questions that may be asked again, as a datagram was lost.
         self._finished: dict[tuple[str, int], PlacementReply] = {}
+        self._undelivered: list[Decision] = []
         self.service_time_s = FIRST_SERVICE_TIME_S
 
     def __len__(self) -> int:
         return len(self._line)
 
+    @property
+    def has_news(self) -> bool:
+        """Whether a step may decide something."""
+        return len(self._line) > 0 or bool(self._undelivered)
+
     @property
     def in_flight_count(self) -> int:
         """Requests that have a place."""
@@ -139,7 +146,7 @@
             del self._targets[name]
 
     def ask(self, key: tuple[str, int], ask: PlacementAsk, now_s: float) -> PlacementReply:
-        """Give a request a place, let it wait, or refuse it."""
+        """Give a request a place, let it wait, or refuse it; call :meth:`step` afterwards."""
         known = self._known_answer(key)
         if known is not None:
             return known
@@ -156,10 +163,12 @@
         if not ask.is_repeat:
             self._repeats.note_first(now_s)
         self._line.add(request)
-        for decided, reply in self.step(now_s):
+        # Time may have made room for others too; the next step tells of them.
+        self._undelivered = self.step(now_s)
+        for number, (decided, reply) in enumerate(self._undelivered):
             if decided is request:
+                del self._undelivered[number]
                 return reply
-            self._finished[decided.key] = reply
         return PlacementReply(ask_id=ask.ask_id, state=PlacementState.QUEUED)
 
     def withdraw(self, key: tuple[str, int]) -> None:
@@ -203,7 +212,7 @@
     def step(self, now_s: float) -> list[Decision]:
         """Place or refuse waiting requests; their instances are to be told."""
         self._drop_lost(now_s)
-        decisions: list[Decision] = []
+        decisions, self._undelivered = self._undelivered, []
         for request in self._line:
             reply = self._try_place(request, now_s)
             if reply is None:
--- /dev/null
+++ b/packages/core/tests/test_placement.py
@@ -0,0 +1,346 @@
+"""Replays loads at which places are scarce, and checks who gets them."""
+
+import heapq
+import unittest
+from random import Random
+
+from tanagerreach_core.messages import PlacementAsk, PlacementState, RefusalCause
+from tanagerreach_core.placement import PlacementTarget, RepeatBudget, ServicePlacement
+from tanagerreach_core.traffic import Outcome
+
+SERVICE_TIME_S = 0.2
+
+
+def made_targets(count, **fields):
+    return [
+        PlacementTarget(
+            name=f"t{number}",
+            address=f"10.0.0.{number}:80",
+            data_centre=f"dc-{number % 3}",
+            slot_count=4,
+            **fields,
+        )
+        for number in range(count)
+    ]
+
+
+def made_placement(targets, allowance=50.0):
+    placement = ServicePlacement(
+        repeats=RepeatBudget(ratio=0.2, allowance=allowance, window_s=10.0)
+    )
+    placement.configure(targets, 0.0)
+    return placement
+
+
+class Asker:
+    """Asks for places under new ids."""
+
+    def __init__(self, placement):
+        self.placement = placement
+        self.asked = 0
+
+    def ask(self, now_s, **fields):
+        self.asked += 1
+        values = {
+            "ask_id": self.asked,
+            "service": "s",
+            "workspace": "w",
+            "priority": 1,
+            "remaining_ms": 3000,
+            "objective_ms": 1000,
+            "is_repeatable": False,
+            "is_repeat": False,
+            "data_centre": "dc-0",
+            "fingerprint": b"",
+            **fields,
+        }
+        key = ("i", self.asked)
+        return key, self.placement.ask(key, PlacementAsk(**values), now_s)
+
+
+class PlacementTest(unittest.TestCase):
+    """One service's home."""
+
+    def test_targets_run_no_more_than_their_slots(self):
+        """Guards against queues at targets, where nobody can choose who goes first."""
+        placement = made_placement(made_targets(2))
+        asker = Asker(placement)
+        replies = [asker.ask(0.0)[1] for _ in range(10)]
+        granted = [reply for reply in replies if reply.state is PlacementState.GRANTED]
+        self.assertEqual(len(granted), 8)
+        self.assertEqual({reply.target for reply in granted}, {"t0", "t1"})
+        self.assertEqual(len(placement), 2)
+
+    def test_free_slot_goes_to_who_waits(self):
+        """Guards against a place that stays empty while a request waits."""
+        placement = made_placement(made_targets(1))
+        asker = Asker(placement)
+        keys = [asker.ask(0.0)[0] for _ in range(5)]
+        placement.end(keys[0], Outcome.SUCCESS, SERVICE_TIME_S, b"", 0.2)
+        decisions = placement.step(0.2)
+        self.assertEqual([request.key for request, _ in decisions], [keys[4]])
+        self.assertIs(decisions[0][1].state, PlacementState.GRANTED)
+
+    def test_repeated_question_gets_the_same_answer(self):
+        """Guards against two places for one request whose first answer was lost."""
+        placement = made_placement(made_targets(3))
+        ask = PlacementAsk(
+            ask_id=1,
+            service="s",
+            workspace="w",
+            priority=1,
+            remaining_ms=1000,
+            objective_ms=500,
+            is_repeatable=False,
+            is_repeat=False,
+            data_centre="dc-0",
+            fingerprint=b"",
+        )
+        first = placement.ask(("i", 1), ask, 0.0)
+        self.assertEqual(placement.ask(("i", 1), ask, 0.1), first)
+        self.assertEqual(placement.in_flight_count, 1)
+
+    def test_failed_target_is_avoided(self):
+        """Guards against the next requests of all instances failing at the same target."""
+        placement = made_placement(made_targets(4))
+        asker = Asker(placement)
+        key, reply = asker.ask(0.0)
+        placement.end(key, Outcome.BROKEN_BEFORE_HEAD, 0.01, b"", 0.01)
+        chosen = {asker.ask(0.02)[1].target for _ in range(12)}
+        self.assertNotIn(reply.target, chosen)
+
+    def test_unsafe_request_waits_for_a_sound_target(self):
+        """Guards against a charge that is lost at a doubtful target while a sound one is busy."""
+        placement = made_placement(made_targets(2))
+        asker = Asker(placement)
+        key, reply = asker.ask(0.0)
+        placement.end(key, Outcome.BROKEN_BEFORE_HEAD, 0.01, b"", 0.01)
+        keys = [asker.ask(0.02)[0] for _ in range(4)]
+        waiting, answer = asker.ask(0.03)
+        self.assertIs(answer.state, PlacementState.QUEUED)
+        placement.end(keys[0], Outcome.SUCCESS, SERVICE_TIME_S, b"", 0.2)
+        decided = dict((request.key, found) for request, found in placement.step(0.2))
+        self.assertNotEqual(decided[waiting].target, reply.target)
+
+    def test_doubtful_target_is_used_before_the_objective_passes(self):
+        """Guards against waiting for ever for a target that stays busy."""
+        placement = made_placement(made_targets(2))
+        asker = Asker(placement)
+        key, reply = asker.ask(0.0)
+        placement.end(key, Outcome.BROKEN_BEFORE_HEAD, 0.01, b"", 0.01)
+        for _ in range(4):
+            asker.ask(0.02)
+        asker.ask(0.03)
+        decisions = placement.step(0.9)
+        self.assertEqual([found.target for _, found in decisions], [reply.target])
+
+    def test_all_targets_in_doubt_still_serve(self):
+        """Guards against a service without room since every target failed of late."""
+        placement = made_placement(made_targets(3))
+        asker = Asker(placement)
+        for _ in range(6):
+            key, _ = asker.ask(0.0)
+            placement.end(key, Outcome.BROKEN_BEFORE_HEAD, 0.01, b"", 0.0)
+        self.assertIs(asker.ask(0.1)[1].state, PlacementState.GRANTED)
+
+    def test_impossible_request_is_refused_at_once(self):
+        """Guards against a caller that is held although its deadline cannot be met."""
+        placement = made_placement(made_targets(1))
+        asker = Asker(placement)
+        _, reply = asker.ask(0.0, remaining_ms=20)
+        self.assertIs(reply.cause, RefusalCause.DEADLINE)
+        for _ in range(4):
+            asker.ask(0.0)
+        replies = [asker.ask(0.0, remaining_ms=1000)[1] for _ in range(40)]
+        refused = [reply for reply in replies if reply.cause is RefusalCause.NO_ROOM]
+        self.assertGreater(len(refused), 15)
+        self.assertTrue(all(reply.retry_after_ms >= 200 for reply in refused))
+
+    def test_urgent_requests_go_first(self):
+        """Guards against urgent requests behind a line of others."""
+        placement = made_placement(made_targets(1))
+        asker = Asker(placement)
+        keys = [asker.ask(0.0)[0] for _ in range(4)]
+        asker.ask(0.0, priority=2)
+        urgent, _ = asker.ask(0.0, priority=0)
+        placement.end(keys[0], Outcome.SUCCESS, SERVICE_TIME_S, b"", 0.1)
+        self.assertEqual([request.key for request, _ in placement.step(0.1)], [urgent])
+
+    def test_greedy_workspace_waits_behind_others(self):
+        """Guards against one workspace's burst that takes all places of the next second."""
+        placement = made_placement(made_targets(1))
+        asker = Asker(placement)
+        running = [asker.ask(0.0)[0] for _ in range(4)]
+        for _ in range(8):
+            asker.ask(0.0, workspace="greedy")
+        modest = [asker.ask(0.01, workspace=f"w{number}")[0] for number in range(3)]
+        order = []
+        for key in running:
+            placement.end(key, Outcome.SUCCESS, SERVICE_TIME_S, b"", 0.1)
+            order += [request.key for request, _ in placement.step(0.1)]
+        self.assertTrue(set(modest) <= set(order))
+
+    def test_cold_target_gets_no_more_than_it_bears(self):
+        """Guards against a cold target that falls over under a burst."""
+        placement = made_placement(
+            made_targets(1, cold_until_s=100.0, cold_rate_per_s=7.0), allowance=1000.0
+        )
+        asker = Asker(placement)
+        starts = []
+        now_s = 0.0
+        while now_s < 10.0:
+            key, reply = asker.ask(now_s, remaining_ms=300, objective_ms=300)
+            if reply.state is PlacementState.GRANTED:
+                starts.append(now_s)
+                placement.end(key, Outcome.SUCCESS, 0.01, b"", now_s)
+            for request, found in placement.step(now_s):
+                if found.state is PlacementState.GRANTED:
+                    starts.append(now_s)
+                    placement.end(request.key, Outcome.SUCCESS, 0.01, b"", now_s)
+            now_s += 0.01
+        self.assertGreater(len(starts), 30)
+        for first in starts:
+            self.assertLessEqual(sum(first <= start < first + 1.0 for start in starts), 7)
+
+    def test_leaving_target_gets_nothing(self):
+        """Guards against work for a target that was taken off the list."""
+        placement = made_placement(made_targets(2))
+        placement.configure(made_targets(1), 1.0)
+        asker = Asker(placement)
+        self.assertEqual({asker.ask(1.0)[1].target for _ in range(4)}, {"t0"})
+
+    def test_repeats_stay_within_the_budget(self):
+        """Guards against a storm of repeats when a service's targets all fail."""
+        placement = made_placement(made_targets(6), allowance=5.0)
+        asker = Asker(placement)
+        repeats = 0
+        for number in range(200):
+            now_s = number * 0.02
+            key, reply = asker.ask(now_s)
+            if reply.state is PlacementState.GRANTED:
+                placement.end(key, Outcome.BROKEN_BEFORE_HEAD, 0.01, b"", now_s)
+            key, reply = asker.ask(now_s, is_repeat=True, is_repeatable=True)
+            if reply.state is PlacementState.GRANTED:
+                repeats += 1
+                placement.end(key, Outcome.BROKEN_BEFORE_HEAD, 0.01, b"", now_s)
+        self.assertGreater(repeats, 10)
+        self.assertLessEqual(repeats, 0.2 * 200 + 5)
+
+    def test_crash_request_is_refused(self):
+        """Guards against a request that ends one target after the other."""
+        placement = made_placement(made_targets(8))
+        asker = Asker(placement)
+        for _ in range(3):
+            key, reply = asker.ask(0.0, fingerprint=b"f")
+            self.assertIs(reply.state, PlacementState.GRANTED)
+            placement.end(key, Outcome.BROKEN_BEFORE_HEAD, 0.01, b"f", 0.0)
+        self.assertIs(asker.ask(0.1, fingerprint=b"f")[1].cause, RefusalCause.CRASH_REQUEST)
+        self.assertIs(asker.ask(0.1, fingerprint=b"g")[1].state, PlacementState.GRANTED)
+
+    def test_place_without_an_end_is_freed(self):
+        """Guards against slots that are lost with the instances that held them."""
+        placement = made_placement(made_targets(1))
+        asker = Asker(placement)
+        for _ in range(4):
+            asker.ask(0.0, remaining_ms=1000)
+        asker.ask(1.2, remaining_ms=2000)
+        decisions = placement.step(1.6)
+        self.assertEqual([reply.state for _, reply in decisions], [PlacementState.GRANTED])
+
+
+class FailingTargets:
+    """Targets that fail most requests for some seconds, each at times of its own."""
+
+    def __init__(self, count, random, length_s):
+        self.periods = {}
+        for number in range(count):
+            periods = []
+            at_s = random.expovariate(1 / 6.0)
+            while at_s < length_s:
+                ends_s = at_s + random.uniform(1.5, 4.0)
+                periods.append((at_s, ends_s))
+                at_s = ends_s + random.expovariate(1 / 6.0)
+            self.periods[f"t{number}"] = periods
+
+    def fails(self, target, now_s, random):
+        is_failing = any(start <= now_s < end for start, end in self.periods[target])
+        return random.random() < (0.85 if is_failing else 0.01)
+
+
+class Replay:
+    """Plays requests that must not be repeated against targets that fail by turns."""
+
+    LENGTH_S = 60.0
+
+    def __init__(self, seed, rate_per_s, choose=None):
+        self.random = Random(seed)
+        self.failing = FailingTargets(14, self.random, self.LENGTH_S)
+        self.placement = made_placement(made_targets(14))
+        self.asker = Asker(self.placement)
+        self.rate_per_s = rate_per_s
+        self.choose = choose
+        self.events = []
+        self.served = self.failed = self.refused = self.late = 0
+        self.started = {}
+
+    def run(self):
+        now_s = 0.0
+        arrival_s = 0.0
+        while now_s < self.LENGTH_S:
+            if self.events and self.events[0][0] <= arrival_s:
+                now_s, key, outcome = heapq.heappop(self.events)
+                took_s = now_s - self.started[key]
+                self.placement.end(key, outcome, took_s, b"", now_s)
+            else:
+                now_s = arrival_s
+                arrival_s += self.random.expovariate(self.rate_per_s)
+                key, reply = self.asker.ask(now_s)
+                self.take(key, reply, now_s, now_s)
+            for request, reply in self.placement.step(now_s):
+                self.take(request.key, reply, now_s, request.arrived_s)
+        return self
+
+    def take(self, key, reply, now_s, arrived_s):
+        if reply.state is PlacementState.REFUSED:
+            self.refused += 1
+        elif reply.state is PlacementState.GRANTED:
+            target = self.choose(self.random) if self.choose else reply.target
+            self.started[key] = now_s
+            if self.failing.fails(target, now_s, self.random):
+                self.failed += 1
+                heapq.heappush(self.events, (now_s + 0.005, key, Outcome.BROKEN_BEFORE_HEAD))
+                return
+            self.served += 1
+            work_s = self.random.lognormvariate(-1.6, 0.6)
+            self.late += now_s + work_s - arrived_s > 1.0
+            heapq.heappush(self.events, (now_s + work_s, key, Outcome.SUCCESS))
+
+    @property
+    def failed_share(self):
+        return self.failed / (self.failed + self.served)
+
+
+class FailingByTurnsTest(unittest.TestCase):
+    """Load pattern: targets fail by turns under requests that must not be repeated."""
+
+    def test_few_requests_meet_a_failing_target(self):
+        """Guards against requests spread over targets whose failures the fleet has seen."""
+        for seed in range(4):
+            with self.subTest(seed=seed):
+                blind = Replay(seed, 55.0, lambda random: f"t{random.randrange(14)}").run()
+                placed = Replay(seed, 55.0).run()
+                self.assertLess(placed.failed_share, 0.3 * blind.failed_share)
+                self.assertEqual(placed.refused, 0)
+
+    def test_burst_is_served(self):
+        """Guards against requests that are refused, or late, though the targets have room."""
+        for seed in range(4):
+            with self.subTest(seed=seed):
+                replay = Replay(seed, 110.0).run()
+                asked = replay.served + replay.failed + replay.refused
+                self.assertLess(replay.refused / asked, 0.005)
+                self.assertLess(replay.late / asked, 0.05)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/core/tests/test_roster.py
@@ -0,0 +1,105 @@
+"""The roster: homes that instances agree on, and shares of a divided fleet."""
+
+import unittest
+
+from tanagerreach_core.placement import Roster, WorkspaceQuota
+from tanagerreach_core.rights import WorkspaceLimit
+
+NAMES = [f"i{number}" for number in range(12)]
+
+
+def made_roster(own, heard, now_s, known=NAMES):
+    roster = Roster(own_name=own)
+    for name in known:
+        roster.learn(name, f"{name}:1", 0.0)
+    for name in heard:
+        if name != own:
+            peer, _ = roster.heard(name, f"{name}:1", now_s)
+            peer.is_serving = True
+    return roster
+
+
+def home_name(roster, own, thing, now_s):
+    home = roster.homes(thing, now_s)[0]
+    return own if home is None else home.name
+
+
+class RosterTest(unittest.TestCase):
+    """Rendezvous over heartbeats."""
+
+    def test_instances_agree_on_homes(self):
+        """Guards against two homes for one service in a calm fleet."""
+        for thing in (b"s:catalogue", b"w:kranfind", b"s:intake"):
+            homes = {home_name(made_roster(own, NAMES, 1.0), own, thing, 1.5) for own in NAMES}
+            self.assertEqual(len(homes), 1)
+
+    def test_silent_home_is_replaced(self):
+        """Guards against questions to an instance that has died."""
+        roster = made_roster("i0", NAMES, 1.0)
+        first = home_name(roster, "i0", b"s:a", 1.5)
+        for name in NAMES:
+            if name not in (first, "i0"):
+                roster.heard(name, f"{name}:1", 4.0)
+        self.assertNotEqual(home_name(roster, "i0", b"s:a", 4.1), first)
+
+    def test_suspected_leaving_and_starting_peers_are_no_homes(self):
+        """Guards against questions to peers that cannot answer them."""
+        roster = made_roster("i0", NAMES, 1.0)
+        for change in ("suspect", "leave", "start"):
+            home = roster.homes(b"s:a", 1.1)[0]
+            if home is None:
+                break
+            if change == "suspect":
+                roster.suspect(home.name, 1.1)
+            elif change == "leave":
+                home.is_leaving = True
+            else:
+                home.is_serving = False
+            with self.subTest(change=change):
+                self.assertIsNot(roster.homes(b"s:a", 1.1)[0], home)
+
+    def test_peer_that_was_just_told_of_is_kept(self):
+        """Guards against a member that is forgotten before its first heartbeat."""
+        roster = Roster(own_name="i0")
+        roster.learn("i1", "i1:1", 100.0)
+        self.assertEqual(roster.forget_silent(101.0), [])
+        self.assertEqual(roster.forget_silent(200.0), ["i1"])
+
+
+class DividedFleetTest(unittest.TestCase):
+    """Load pattern: a workspace sends many times its rate to both sides of a partition."""
+
+    def test_two_homes_issue_no_more_than_the_rate(self):
+        """Guards against a rate that doubles when the fleet is divided."""
+        limit = WorkspaceLimit(rate_per_s=40.0, burst=40.0)
+        for size in (1, 4, 6):
+            issued = []
+            for side in (NAMES[:size], NAMES[size:]):
+                own = side[0]
+                quota = WorkspaceQuota()
+                times = []
+                now_s = 0.0
+                while now_s < 20.0:
+                    roster = made_roster(own, side, now_s)
+                    if quota.take("w", limit, roster.fleet_share(now_s), now_s) == 0:
+                        times.append(now_s)
+                    now_s += 0.01
+                issued += times
+            for start_s in range(15):
+                count = sum(start_s <= at_s < start_s + 5 for at_s in issued)
+                self.assertLessEqual(count, 5 * limit.rate_per_s + limit.burst)
+
+    def test_calm_fleet_gets_the_whole_rate(self):
+        """Guards against refusals of requests within the rate."""
+        limit = WorkspaceLimit(rate_per_s=40.0, burst=40.0)
+        quota = WorkspaceQuota()
+        roster = made_roster("i0", NAMES, 0.0)
+        granted = sum(
+            quota.take("w", limit, roster.fleet_share(0.0), number / 38.0) == 0
+            for number in range(380)
+        )
+        self.assertEqual(granted, 380)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/daemon/src/tanagerreachd/gateway/_home_server.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_home_server.py
@@ -162,7 +162,7 @@
         """Look at the waiting requests once."""
         now_s = _clock.now_s()
         for name, service in list(self._services.items()):
-            if len(service):
+            if service.has_news:
                 self._step(name, service, now_s)
         gevent.sleep(STEP_S)
 
@@ -185,6 +185,7 @@
         else:
             waiting.pop(key, None)
         reply(answer)
+        self._step(ask.service, service, now_s)
 
     def _add_service(self, name: str, now_s: float) -> ServicePlacement:
         service = self._services[name] = ServicePlacement(
