--- a/packages/core/src/tanagerreach_core/_placement.py
+++ b/packages/core/src/tanagerreach_core/_placement.py
@@ -36,6 +36,10 @@
 LOAD_WEIGHT = 0.15
 DISTANCE_WEIGHT = 0.03
 LATENCY_WEIGHT = 0.05
+# A target that was not tried since it joined takes the next repeatable request, and after a while
+# any request, so that it shares the load.
+UNTRIED_PREFERENCE = 0.4
+UNTRIED_PAUSE_S = 1.0
 # A target answers nearly all requests within this many times its usual latency.
 PATIENCE_RATIO = 6.0
 PATIENCE_MIN_S = 0.4
@@ -84,7 +88,9 @@
 class _TargetState:
     spec: PlacementTarget
     belief: TargetBelief
+    joined_s: float
     in_flight: dict[tuple[str, int], _Placed] = field(default_factory=dict)
+    is_untried: bool = True
     recent_starts: deque[float] = field(default_factory=deque)
     shed_until_s: float = 0.0
 
@@ -139,7 +145,9 @@
         for name, spec in wanted.items():
             known = self._targets.get(name)
             if known is None or known.spec.address != spec.address:
-                self._targets[name] = _TargetState(spec=spec, belief=TargetBelief(now_s=now_s))
+                self._targets[name] = _TargetState(
+                    spec=spec, belief=TargetBelief(now_s=now_s), joined_s=now_s
+                )
             else:
                 known.spec = spec
         for name in set(self._targets) - set(wanted):
@@ -267,6 +275,7 @@
         self._placed[request.key] = placed
         state.in_flight[request.key] = placed
         state.recent_starts.append(now_s)
+        state.is_untried = False
         patience_s = max(PATIENCE_MIN_S, PATIENCE_RATIO * self.service_time_s)
         return PlacementReply(
             ask_id=ask.ask_id,
@@ -359,6 +368,9 @@
             burden += LATENCY_WEIGHT * min(4.0, state.belief.mean_latency_s / self.service_time_s)
         if now_s < spec.cold_until_s:
             burden += LOAD_WEIGHT
+        may_try = request.ask.is_repeatable or now_s - state.joined_s > UNTRIED_PAUSE_S
+        if state.is_untried and may_try:
+            burden -= UNTRIED_PREFERENCE
         return burden
 
 
--- a/packages/core/tests/test_placement.py
+++ b/packages/core/tests/test_placement.py
@@ -202,6 +202,22 @@
         for first in starts:
             self.assertLessEqual(sum(first <= start < first + 1.0 for start in starts), 7)
 
+    def test_joining_target_gets_its_share(self):
+        """Guards against targets that join a service with little load and stay idle."""
+        placement = made_placement(made_targets(2))
+        asker = Asker(placement)
+        for number in range(20):
+            key, _ = asker.ask(number * 0.1)
+            placement.end(key, Outcome.SUCCESS, 0.05, b"", number * 0.1 + 0.05)
+        placement.configure(made_targets(4), 2.0)
+        chosen = set()
+        for number in range(20):
+            now_s = 2.0 + number * 0.1
+            key, reply = asker.ask(now_s)
+            chosen.add(reply.target)
+            placement.end(key, Outcome.SUCCESS, 0.05, b"", now_s + 0.05)
+        self.assertLessEqual({"t2", "t3"}, chosen)
+
     def test_leaving_target_gets_nothing(self):
         """Guards against work for a target that was taken off the list."""
         placement = made_placement(made_targets(2))
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -20,6 +20,7 @@
     "packages/daemon/tests",
     "packages/cli/tests",
     "packages/standins/tests",
+    "platform/tests",
     "tools/tests",
     "tests",
 )
