Try idle targets again while many requests are not served

Ruled out: targets without room. The home now tries each reachable target again after 1 s while over 8% of the requests are not served.

--- a/packages/core/src/tanagerreach_core/_placement.py
+++ b/packages/core/src/tanagerreach_core/_placement.py
@@ -39,14 +39,13 @@
 # A target that was not tried since it joined takes the next repeatable request, and after a while
 # any request, so that it shares the load.
 UNTRIED_PREFERENCE = 0.4
-# While many of a service's requests are not served, work is spread over all targets that are not
-# in doubt, since those that get none could serve more; otherwise recent successes count more.
+# While many of a service's requests are not served, each target that can be reached is tried again
+# after a pause, also a doubtful one, since an idle target that is sound again could serve more.
 UNSERVED_WINDOW_S = 3.0
-UNSERVED_SHARE_MAX = 0.05
+UNSERVED_SHARE_MAX = 0.08
 IDLE_PREFERENCE = 0.05
-IDLE_PREFERENCE_UNSERVED = 0.5
 IDLE_FULL_S = 1.5
-UNTRIED_PAUSE_S = 1.0
+IDLE_MAX_S = 1.0
 # An instance that cannot connect to a target is not sent there for a while. Only when several
 # instances cannot, the target itself is taken to be down.
 PATH_PAUSE_S = 4.0
@@ -152,7 +151,6 @@
     __slots__ = (
         "_crashes",
         "_finished",
-        "_idle_preference",
         "_line",
         "_placed",
         "_repeats",
@@ -172,7 +170,6 @@
         self._finished: dict[tuple[str, int], PlacementReply] = {}
         self._undelivered: list[Decision] = []
         self._results = _Results()
-        self._idle_preference = IDLE_PREFERENCE
         self.service_time_s = FIRST_SERVICE_TIME_S
 
     def __len__(self) -> int:
@@ -214,10 +211,10 @@
             deadline_s=now_s + ask.remaining_ms / MS_PER_S,
             objective_s=now_s + ask.objective_ms / MS_PER_S,
         )
-        self._note_results(0, ask.refused_count, now_s)
+        self._results.add(0, ask.refused_count, now_s)
         refusal = self._refusal(request, now_s)
         if refusal is not None:
-            self._note_results(0, 1, now_s)
+            self._results.add(0, 1, now_s)
             return self._finish(request, refusal)
         if not ask.is_repeat:
             self._repeats.note_first(now_s)
@@ -250,9 +247,9 @@
             return None
         self._crashes.observe(fingerprint, outcome, now_s)
         if outcome is Outcome.SUCCESS:
-            self._note_results(1, 0, now_s)
+            self._results.add(1, 0, now_s)
         elif outcome is not Outcome.CANCELLED:
-            self._note_results(0, 1, now_s)
+            self._results.add(0, 1, now_s)
         state = self._targets.get(placed.target)
         if state is None:
             return None
@@ -294,11 +291,6 @@
             decisions.append((request, self._finish(request, reply)))
         return decisions
 
-    def _note_results(self, served: int, unserved: int, now_s: float) -> None:
-        self._results.add(served, unserved, now_s)
-        is_short = self._results.unserved_share(now_s) > UNSERVED_SHARE_MAX
-        self._idle_preference = IDLE_PREFERENCE_UNSERVED if is_short else IDLE_PREFERENCE
-
     # Waiting and refusing
 
     def _known_answer(self, key: tuple[str, int]) -> PlacementReply | None:
@@ -379,13 +371,20 @@
     # Choice of the target
 
     def _choose(self, request: WaitingRequest, now_s: float) -> _TargetState | None:
+        reachable = [
+            state
+            for name, state in self._targets.items()
+            if name not in request.ask.excluded
+            and now_s >= state.unreachable_from.get(request.key[0], 0.0)
+            and self._has_room(state, now_s)
+        ]
+        if self._results.unserved_share(now_s) > UNSERVED_SHARE_MAX:
+            idle = self._longest_idle(reachable, now_s)
+            if idle is not None:
+                return idle
         limit = self._doubt_limit(request, now_s)
         best: tuple[float, _TargetState] | None = None
-        for name, state in self._targets.items():
-            if name in request.ask.excluded or not self._has_room(state, now_s):
-                continue
-            if now_s < state.unreachable_from.get(request.key[0], 0.0):
-                continue
+        for state in reachable:
             doubt = self._doubt(state, now_s)
             if doubt > limit:
                 continue
@@ -394,6 +393,15 @@
                 best = (cost, state)
         return None if best is None else best[1]
 
+    @staticmethod
+    def _longest_idle(states: list[_TargetState], now_s: float) -> _TargetState | None:
+        idle = [
+            state
+            for state in states
+            if now_s - state.latest_start_s > IDLE_MAX_S and now_s >= state.belief.down_until_s
+        ]
+        return min(idle, key=lambda state: state.latest_start_s, default=None)
+
     def _doubt_limit(self, request: WaitingRequest, now_s: float) -> float:
         """Return how doubtful a target may be, which rises over the time that is to spare."""
         latest_s = min(request.objective_s, request.deadline_s) - 2 * self.service_time_s
@@ -445,7 +453,7 @@
         if state.is_untried and may_try:
             burden -= UNTRIED_PREFERENCE
         idle = min(1.0, (now_s - state.latest_start_s) / IDLE_FULL_S)
-        return burden - self._idle_preference * idle
+        return burden - IDLE_PREFERENCE * idle
 
 
 def may_run_again(outcome: Outcome, *, is_repeatable: bool) -> bool:
--- a/packages/core/tests/test_placement.py
+++ b/packages/core/tests/test_placement.py
@@ -196,17 +196,25 @@
             self.assertLessEqual(sum(first <= start < first + 1.0 for start in starts), 7)
 
     def test_unserved_requests_spread_the_load(self):
-        """Guards against idle sound targets while callers are refused."""
+        """Guards against idle targets, also once doubtful ones, while callers are refused.
+
+        Load pattern: a workspace beyond its quota, and targets that failed a moment ago.
+        """
         placement = made_placement(made_targets(6))
         asker = Asker(placement)
-        chosen = set()
-        for number in range(24):
-            now_s = number * 0.17
+        starts = {f"t{number}": [] for number in range(6)}
+        for number in range(60):
+            now_s = number * 0.1
             key, reply = asker.ask(now_s, refused_count=1)
-            placement.end(key, Outcome.SUCCESS, 0.05, b"", now_s + 0.05)
-            if now_s > 2.0:
-                chosen.add(reply.target)
-        self.assertEqual(len(chosen), 6)
+            failed = reply.target in ("t1", "t2") and now_s < 1.0
+            outcome = Outcome.BROKEN_BEFORE_HEAD if failed else Outcome.SUCCESS
+            placement.end(key, outcome, 0.05, b"", now_s + 0.05)
+            starts[reply.target].append(now_s)
+        for target, times in starts.items():
+            with self.subTest(target=target):
+                late = [at_s for at_s in times if at_s > 1.0]
+                gaps = [b - a for a, b in zip([1.0, *late], [*late, 6.0], strict=True)]
+                self.assertLess(max(gaps), 2.0)
 
     def test_bad_path_is_avoided_by_its_instance_only(self):
         """Guards against a sound target that is lost to all since one instance cannot reach it."""
