--- a/packages/core/src/tanagerreach_core/_placement.py
+++ b/packages/core/src/tanagerreach_core/_placement.py
@@ -39,6 +39,7 @@
 # A target that was not tried since it joined takes the next repeatable request, and after a while
 # any request, so that it shares the load.
 UNTRIED_PREFERENCE = 0.4
+UNTRIED_PAUSE_S = 1.0
 # While many of a service's requests are not served, each target that can be reached is tried again
 # after a pause, also a doubtful one, since an idle target that is sound again could serve more.
 UNSERVED_WINDOW_S = 3.0
