--- a/packages/cli/src/tanagerreach_cli/__main__.py
+++ b/packages/cli/src/tanagerreach_cli/__main__.py
@@ -14,6 +14,7 @@
 from ._command import Command
 from ._data_centre_commands import BringBack, TakeOut
 from ._errors import ChangeConflictError, CommandError, ExitCode, InvalidInputError
+from ._explain import Explain
 from ._key_commands import Key
 from ._object_commands import Delete, Get, Label
 from ._session import (
@@ -46,6 +47,7 @@
         | ShowTimeline
         | Check
         | ShowMetrics
+        | Explain
     ]
     instance: Annotated[
         list[str],
--- a/packages/core/src/tanagerreach_core/_placement.py
+++ b/packages/core/src/tanagerreach_core/_placement.py
@@ -19,6 +19,7 @@
 from ._waiting_line import WaitingLine, WaitingRequest
 
 MS_PER_S = 1000.0
+PERCENT = 100
 FIRST_SERVICE_TIME_S = 0.2
 SERVICE_TIME_WEIGHT = 0.05
 # Share of a cold target's announced rate that is used, since its own window may lie elsewhere.
@@ -305,17 +306,34 @@
         """Refuse at once what cannot be served in time."""
         ask = request.ask
         if self._crashes.is_refused(ask.fingerprint, now_s):
-            return _refuse(ask, RefusalCause.CRASH_REQUEST)
+            return self._refuse(ask, RefusalCause.CRASH_REQUEST)
         if not any(name not in ask.excluded for name in self._targets):
-            return _refuse(ask, RefusalCause.NO_TARGET, RETRY_AFTER_MIN_S)
+            return self._refuse(ask, RefusalCause.NO_TARGET, RETRY_AFTER_MIN_S)
         if ask.is_repeat and not self._repeats.allows(now_s):
-            return _refuse(ask, RefusalCause.REPEAT_BUDGET)
+            return self._refuse(ask, RefusalCause.REPEAT_BUDGET)
         wait_s = self._expected_wait_s(ask.priority, ask.workspace)
         if now_s + wait_s + self.service_time_s > request.deadline_s:
             cause = RefusalCause.NO_ROOM if wait_s else RefusalCause.DEADLINE
-            return _refuse(ask, cause, wait_s)
+            return self._refuse(ask, cause, wait_s)
         return None
 
+    def _refuse(
+        self, ask: PlacementAsk, cause: RefusalCause, retry_after_s: float = 0.0
+    ) -> PlacementReply:
+        return PlacementReply(
+            ask_id=ask.ask_id,
+            state=PlacementState.REFUSED,
+            cause=cause,
+            retry_after_ms=int(MS_PER_S * max(retry_after_s, RETRY_AFTER_MIN_S)),
+            waiting_count=len(self._line),
+            free_slot_count=self._free_slot_count(),
+        )
+
+    def _free_slot_count(self) -> int:
+        return sum(
+            max(0, state.spec.slot_count - len(state.in_flight)) for state in self._targets.values()
+        )
+
     def _expected_wait_s(self, priority: int, workspace: str) -> float:
         ahead = self._line.ahead_of(priority, workspace)
         if not ahead:
@@ -326,9 +344,9 @@
     def _try_place(self, request: WaitingRequest, now_s: float) -> PlacementReply | None:
         ask = request.ask
         if now_s + self._least_work_s() > request.deadline_s:
-            return _refuse(ask, RefusalCause.NO_ROOM, self.service_time_s)
+            return self._refuse(ask, RefusalCause.NO_ROOM, self.service_time_s)
         if ask.is_repeat and not self._repeats.allows(now_s):
-            return _refuse(ask, RefusalCause.REPEAT_BUDGET)
+            return self._refuse(ask, RefusalCause.REPEAT_BUDGET)
         state = self._choose(request, now_s)
         if state is None:
             return None
@@ -348,6 +366,9 @@
             address=state.spec.address,
             patience_ms=int(MS_PER_S * patience_s),
             service=ask.service,
+            doubt_percent=round(PERCENT * self._doubt(state, now_s)),
+            waiting_count=len(self._line) - 1,
+            free_slot_count=self._free_slot_count(),
         )
 
     def _least_work_s(self) -> float:
@@ -460,12 +481,3 @@
 def may_run_again(outcome: Outcome, *, is_repeatable: bool) -> bool:
     """Tell whether a request may be sent again after a try with this outcome."""
     return outcome in NOT_STARTED or (is_repeatable and outcome is not Outcome.CANCELLED)
-
-
-def _refuse(ask: PlacementAsk, cause: RefusalCause, retry_after_s: float = 0.0) -> PlacementReply:
-    return PlacementReply(
-        ask_id=ask.ask_id,
-        state=PlacementState.REFUSED,
-        cause=cause,
-        retry_after_ms=int(MS_PER_S * max(retry_after_s, RETRY_AFTER_MIN_S)),
-    )
--- a/packages/core/src/tanagerreach_core/_placement_messages.py
+++ b/packages/core/src/tanagerreach_core/_placement_messages.py
@@ -60,7 +60,10 @@
 class PlacementReply(msgspec.Struct, kw_only=True, array_like=True, tag=21):
     """Answer to a :class:`PlacementAsk`.
 
-    ``patience_ms`` is how long an answer of the target usually takes at most.
+    ``patience_ms`` is how long an answer of the target usually takes at most. What decided is for
+    logs: ``doubt_percent`` is the probability that the target fails requests now, ``waiting_count``
+    the length of the line, ``free_slot_count`` the targets' free slots, ``list_age_ms`` the age of
+    the home's list of targets.
     """
 
     ask_id: int
@@ -71,6 +74,10 @@
     patience_ms: int = 0
     retry_after_ms: int = 0
     service: str = ""
+    doubt_percent: int = 0
+    waiting_count: int = 0
+    free_slot_count: int = 0
+    list_age_ms: int = 0
 
 
 class PlacementEnd(msgspec.Struct, kw_only=True, array_like=True, tag=22):
@@ -92,11 +99,16 @@
 
 
 class QuotaReply(msgspec.Struct, kw_only=True, array_like=True, tag=24):
-    """Answer to a :class:`QuotaAsk`."""
+    """Answer to a :class:`QuotaAsk`.
+
+    What decided is for logs: the rate in force and the part of the fleet that the home hears.
+    """
 
     ask_id: int
     is_granted: bool
     retry_after_ms: int = 0
+    rate_per_s: float = 0.0
+    fleet_percent: int = 100
 
 
 class Received(msgspec.Struct, kw_only=True, array_like=True, tag=25):
--- a/packages/daemon/src/tanagerreachd/_peer_link.py
+++ b/packages/daemon/src/tanagerreachd/_peer_link.py
@@ -8,6 +8,7 @@
 import gevent
 from tanagerreach_core.messages import Borrower, Envelope, Message
 
+from . import _clock
 from ._peer_codec import MAX_DATAGRAM_BYTES, AuthenticationError, PeerCodec, PeerCodecError
 from ._timeline import HybridClock, HybridTime
 
@@ -30,10 +31,11 @@
 class ReplayWindow:
     """Accepts each counter of one sender incarnation at most once."""
 
-    __slots__ = ("_highest", "_seen", "incarnation")
+    __slots__ = ("_highest", "_seen", "heard_s", "incarnation")
 
     def __init__(self, *, incarnation: int) -> None:
         self.incarnation = incarnation
+        self.heard_s = 0.0
         self._highest = 0
         self._seen = 0
 
@@ -52,11 +54,16 @@
 
 
 class ReplayGuard:
-    """Replay windows of all senders; a newer incarnation replaces the older one."""
+    """Replay windows of all senders; a newer incarnation replaces the older one.
 
-    __slots__ = ("_windows",)
+    :param restart_silence_s: silence after which an earlier incarnation is taken for a restart
+        under a clock that was set back; by default it never is.
+    """
+
+    __slots__ = ("_restart_silence_s", "_windows")
 
-    def __init__(self) -> None:
+    def __init__(self, *, restart_silence_s: float | None = None) -> None:
+        self._restart_silence_s = restart_silence_s
         self._windows: dict[str, ReplayWindow] = {}
 
     def accept(self, sender: Borrower, counter: int) -> bool:
@@ -65,10 +72,18 @@
         if window is None or sender.incarnation > window.incarnation:
             window = ReplayWindow(incarnation=sender.incarnation)
             self._add(sender.instance_id, window)
-        if sender.incarnation < window.incarnation:
-            return False
+        elif sender.incarnation < window.incarnation:
+            if not self._was_silent(window):
+                return False
+            window = ReplayWindow(incarnation=sender.incarnation)
+            self._add(sender.instance_id, window)
+        window.heard_s = _clock.now_s()
         return window.accept(counter)
 
+    def _was_silent(self, window: ReplayWindow) -> bool:
+        limit_s = self._restart_silence_s
+        return limit_s is not None and _clock.now_s() - window.heard_s > limit_s
+
     def _add(self, instance_id: str, window: ReplayWindow) -> None:
         if instance_id not in self._windows and len(self._windows) >= MAX_SENDERS:
             del self._windows[next(iter(self._windows))]
@@ -97,6 +112,7 @@
     :param sender: identity of this run of the instance.
     :param codec: codec with the fleet secret.
     :param clock: hybrid logical clock; it is sent with each message and merged on receipt.
+    :param restart_silence_s: see :class:`ReplayGuard`.
     """
 
     __slots__ = (
@@ -114,13 +130,19 @@
     )
 
     def __init__(
-        self, *, address: str, sender: Borrower, codec: PeerCodec, clock: HybridClock
+        self,
+        *,
+        address: str,
+        sender: Borrower,
+        codec: PeerCodec,
+        clock: HybridClock,
+        restart_silence_s: float | None = None,
     ) -> None:
         self._clock = clock
         self._codec = codec
         self._sender = sender
         self._counter = 0
-        self._guard = ReplayGuard()
+        self._guard = ReplayGuard(restart_silence_s=restart_silence_s)
         self._handler: MessageHandler | None = None
         self._on_failure: Callable[[BaseException], None] | None = None
         self._greenlet: gevent.Greenlet | None = None
--- a/packages/daemon/src/tanagerreachd/_refusals.py
+++ b/packages/daemon/src/tanagerreachd/_refusals.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 from http import HTTPStatus
+from typing import Any
 
 import msgspec
 
@@ -24,6 +25,7 @@
     :param kind: short stable name of the reason, part of the problem document's type.
     :param detail: what happened and what the caller can do.
     :param retry_after_s: when a new attempt makes sense, or None.
+    :param inputs: what decided it, for the log only.
     """
 
     status: HTTPStatus
@@ -32,6 +34,7 @@
     executed: Executed = Executed.NOT_RUN
     retry_after_s: float | None = None
     headers: list[tuple[str, str]] = field(default_factory=list)
+    inputs: dict[str, Any] = field(default_factory=dict)
 
     def __str__(self) -> str:
         return f"{self.status.value} {self.kind}: {self.detail}"
--- a/packages/daemon/src/tanagerreachd/gateway/_application.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_application.py
@@ -31,7 +31,7 @@
 from ._dialect import Dialect
 from ._placement_client import Place, PlacementClient
 from ._request import GatewayRequest, caller_wait_s
-from ._request_log import RequestLog
+from ._request_log import RequestLog, placement_inputs
 from ._sources import CallerLimits
 
 BUFFERED_BODY_BYTES = 1024 * 1024
@@ -236,6 +236,13 @@
                 kind="rate-exceeded",
                 detail="the workspace's rate is used up; try again later",
                 retry_after_s=max(0.1, reply.retry_after_ms / 1000.0),
+                inputs={
+                    "workspace": request.workspace_name,
+                    "service": name,
+                    "rate_per_s": reply.rate_per_s,
+                    "fleet_percent": reply.fleet_percent,
+                    "revision": request.environ["tanagerreach.revision"],
+                },
             )
 
     def _try_targets(
@@ -296,7 +303,7 @@
             self._places.end(place, outcome, took_s)
             self._log.tried(request, place, outcome, took_s, failure)
         if answer is not None and not self._is_worth_repeating(request, outcome):
-            self._log.answered(request, answer.status, _clock.now_s())
+            self._log.answered(request, place, answer.status, _clock.now_s())
             return answer
         if self._may_try_again(request, outcome):
             return self._next_try(request, answer)
@@ -356,8 +363,16 @@
 
     def _no_place(self, request: GatewayRequest, place: Place) -> RefusalError:
         if request.tries:
-            return self._failed(request, None)
-        return _unavailable(place.reply.cause, place.reply.retry_after_ms / 1000.0)
+            refusal = self._failed(request, None)
+        else:
+            refusal = _unavailable(place.reply.cause, place.reply.retry_after_ms / 1000.0)
+        refusal.inputs |= {
+            "service": request.service_name,
+            "workspace": request.workspace_name,
+            "cause": place.reply.cause.name.lower(),
+            **placement_inputs(place),
+        }
+        return refusal
 
     @staticmethod
     def _failed(request: GatewayRequest, failure: UpstreamError | None) -> RefusalError:
--- a/packages/daemon/src/tanagerreachd/gateway/_followers.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_followers.py
@@ -31,6 +31,7 @@
 """An instance follows the entries for this long after it last placed a request."""
 SPARE_LIST_INTERVAL_S = 4.0
 """Interval at which an instance that places nothing reads a stale list."""
+DAY_S = 86_400.0
 FAILURE_PAUSE_MIN_S = 0.25
 FAILURE_PAUSE_MAX_S = 1.0
 
@@ -254,6 +255,11 @@
         """Whether the directory is as the store had it a moment ago."""
         return self._is_following and _clock.now_s() - self._answered_s <= CURRENT_AGE_S
 
+    @property
+    def age_ms(self) -> int:
+        """Age of the latest news of the targets, at most a day."""
+        return int(1000 * min(DAY_S, _clock.now_s() - self._answered_s))
+
     @property
     def has_store(self) -> bool:
         """Whether the store answered the last call."""
--- a/packages/daemon/src/tanagerreachd/gateway/_home_server.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_home_server.py
@@ -56,6 +56,7 @@
     :param resolver: returns the current lookups, ``None`` before there is a configuration.
     :param need_targets: called when targets are needed.
     :param is_current: whether the directory can be relied on.
+    :param list_age_ms: age of the directory, for logs.
     """
 
     def __init__(
@@ -66,6 +67,7 @@
         directory: TargetDirectory,
         need_targets: Callable[[], None],
         is_current: Callable[[], bool],
+        list_age_ms: Callable[[], int],
         repeats: RepeatAllowance,
         heartbeat_s: float,
         log: InstanceLog,
@@ -81,6 +83,7 @@
         self._services: dict[str, ServicePlacement] = {}
         self._waiting: dict[str, dict[tuple[str, int], Reply]] = {}
         self._quota = WorkspaceQuota()
+        self._list_age_ms = list_age_ms
         self._returned_s: dict[str, float] = {}
         self._out: frozenset[str] = frozenset()
 
@@ -137,7 +140,11 @@
             now_s,
         )
         return QuotaReply(
-            ask_id=ask.ask_id, is_granted=wait_s == 0, retry_after_ms=int(1000 * wait_s)
+            ask_id=ask.ask_id,
+            is_granted=wait_s == 0,
+            retry_after_ms=int(1000 * wait_s),
+            rate_per_s=limit.rate_per_s,
+            fleet_percent=round(100 * fleet_share),
         )
 
     def apply_configuration(self, configuration: Configuration) -> None:
@@ -187,6 +194,7 @@
             waiting[key] = reply
         else:
             waiting.pop(key, None)
+        answer.list_age_ms = self._list_age_ms()
         reply(answer)
         self._step(ask.service, service, now_s)
 
@@ -207,6 +215,7 @@
         for request, answer in service.step(now_s):
             reply = self._waiting[name].pop(request.key, None)
             if reply is not None:
+                answer.list_age_ms = self._list_age_ms()
                 reply(answer)
 
     def _targets(self, service: str, now_s: float) -> list[PlacementTarget]:
--- a/packages/daemon/src/tanagerreachd/gateway/_instance.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_instance.py
@@ -51,6 +51,9 @@
 from ._sources import CallerLimits, OperatorState, Platform, SourceError
 from ._target_directory import TargetDirectory
 
+RESTART_SILENCE_S = 2.0
+"""A peer that was silent for this long may come back with an earlier incarnation, since the time of
+day may have been set back."""
 CONNECT_TIMEOUT_S = 0.3
 """A target in the same region accepts within a few milliseconds; a lost packet is sent again by the
 kernel after 0.2 s."""
@@ -135,6 +138,7 @@
                 ),
                 codec=PeerCodec(secret=settings.fleet_secret.encode()),
                 clock=HybridClock(),
+                restart_silence_s=RESTART_SILENCE_S,
             )
         self._calls = PeerCalls(send=self._link.send)
         self._peer_states = PeerStateClient(addresses=self._state_addresses, log=self._log)
@@ -165,6 +169,7 @@
             directory=self._directory,
             need_targets=self._targets.need,
             is_current=lambda: self._targets.is_current,
+            list_age_ms=lambda: self._targets.age_ms,
             repeats=self._settings.repeats,
             heartbeat_s=self._settings.target_heartbeat_s,
             log=self._log,
--- a/packages/daemon/src/tanagerreachd/gateway/_request_log.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_request_log.py
@@ -36,6 +36,18 @@
         return True
 
 
+def placement_inputs(place: Any) -> dict[str, Any]:
+    """Return what a home's answer was decided by, for a log line."""
+    reply = place.reply
+    return {
+        "placed_by": "" if place.home is None else place.home.name,
+        "doubt_percent": reply.doubt_percent,
+        "waiting_count": reply.waiting_count,
+        "free_slot_count": reply.free_slot_count,
+        "list_age_ms": reply.list_age_ms,
+    }
+
+
 class RequestLog:
     """Writes what was decided about requests, and counts it."""
 
@@ -78,14 +90,14 @@
             request_id=request.request_id,
             service=request.service_name,
             target=place.reply.target,
-            placed_by="" if place.home is None else place.home.name,
+            **placement_inputs(place),
             outcome=outcome.name.lower(),
             reason="" if failure is None else failure.detail,
             took_ms=int(1000 * took_s),
             try_number=len(request.tries),
         )
 
-    def answered(self, request: Any, status: int, now_s: float) -> None:
+    def answered(self, request: Any, place: Any, status: int, now_s: float) -> None:
         """Note an answer that is passed on."""
         took_s = now_s - request.arrived_s
         self._answers.add(1, request.service_name, str(status))
@@ -102,6 +114,7 @@
             status=status,
             took_ms=int(1000 * took_s),
             try_count=len(request.tries),
+            **placement_inputs(place),
             revision=request.environ["tanagerreach.revision"],
         )
 
@@ -117,6 +130,7 @@
                 executed=refusal.executed.value,
                 retry_after_s=refusal.retry_after_s,
                 took_ms=int(1000 * took_s),
+                **refusal.inputs,
             )
 
     def gone(self, request_id: str, took_s: float) -> None:
--- a/packages/daemon/src/tanagerreachd/start.py
+++ b/packages/daemon/src/tanagerreachd/start.py
@@ -1,6 +1,7 @@
 """What a program needs that starts an instance."""
 
+from ._line_stream import LineStream
 from ._listeners import AddressError
-from ._logs import open_log
+from ._logs import InstanceLog
 
-__all__ = ["AddressError", "open_log"]
+__all__ = ["AddressError", "InstanceLog", "LineStream"]
--- a/packages/daemon/tests/test_gateway_homes.py
+++ b/packages/daemon/tests/test_gateway_homes.py
@@ -72,6 +72,7 @@
             directory=self.directory,
             need_targets=lambda: None,
             is_current=lambda: self.is_current,
+            list_age_ms=lambda: 0,
             repeats=RepeatAllowance(ratio=0.2, allowance=10.0, window_s=10.0),
             heartbeat_s=1.5,
             log=SilentLog(),
