--- a/packages/core/src/tanagerreach_core/_placement.py
+++ b/packages/core/src/tanagerreach_core/_placement.py
@@ -7,79 +7,38 @@
 objective allows that, and refuses at once what would not be answered in time.
 """
 
-from collections import deque
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from ._crash_streaks import CrashStreaks
 from ._outcomes import NOT_STARTED, Outcome
 from ._placement_messages import PlacementAsk, PlacementReply, PlacementState, RefusalCause
+from ._recent_results import RecentResults
 from ._repeat_budget import RepeatBudget
 from ._target_belief import TargetBelief
+from ._target_state import PlacedRequest, PlacementTarget, TargetState
 from ._waiting_line import WaitingLine, WaitingRequest
 
 MS_PER_S = 1000.0
 PERCENT = 100
 FIRST_SERVICE_TIME_S = 0.2
 SERVICE_TIME_WEIGHT = 0.05
-# Share of a cold target's announced rate that is used, since its own window may lie elsewhere.
-COLD_RATE_SHARE = 0.8
-COLD_CONCURRENCY = 2
-COLD_WINDOW_S = 1.0
-# A request in flight for this many times the usual latency speaks against its target.
-OVERDUE_RATIO = 4.0
-OVERDUE_MIN_S = 0.5
-OVERDUE_DOUBT = 0.5
 # How doubtful a target a request takes at once; the bound rises to 1 while the request waits.
 DOUBT_AT_ONCE = 0.3
-# Weights of what makes one target less preferable than another, against the probability that it
-# fails the request.
-LOAD_WEIGHT = 0.15
-DISTANCE_WEIGHT = 0.06
-LATENCY_WEIGHT = 0.05
-# A target that was not tried since it joined takes the next repeatable request, and after a while
-# any request, so that it shares the load.
-UNTRIED_PREFERENCE = 0.4
-UNTRIED_PAUSE_S = 1.0
 # While many of a service's requests are not served, each target that can be reached is tried again
 # after a pause, also a doubtful one, since an idle target that is sound again could serve more.
-UNSERVED_WINDOW_S = 3.0
 UNSERVED_SHARE_MAX = 0.08
-IDLE_PREFERENCE = 0.05
-IDLE_FULL_S = 1.5
 IDLE_MAX_S = 1.0
-# An instance that cannot connect to a target is not sent there for a while. Only when several
-# instances cannot, the target itself is taken to be down.
-PATH_PAUSE_S = 4.0
-DOWN_PATHS = 2
 # A target answers nearly all requests within this many times its usual latency.
 PATIENCE_RATIO = 6.0
 PATIENCE_MIN_S = 0.4
 # A place is given up this long after its request's deadline when no end was reported.
 LOST_END_GRACE_S = 0.5
 LOST_END_INTERVAL_S = 0.25
-SHED_PAUSE_S = 0.25
 RETRY_AFTER_MIN_S = 0.2
 FINISHED_KEPT = 512
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class PlacementTarget:
-    """A target that may take requests.
-
-    :param slot_count: requests that it runs at the same time.
-    :param cold_until_s: time until which it is cold, 0 when it is warm.
-    :param cold_rate_per_s: requests per second that it bears while it is cold.
-    """
-
-    name: str
-    address: str
-    data_centre: str
-    slot_count: int
-    cold_until_s: float = 0.0
-    cold_rate_per_s: float = 0.0
-
-
 @dataclass(slots=True, kw_only=True)
 class PlacementEvent:
     """A changed belief about a target, for the log."""
@@ -90,62 +49,6 @@
     failing_after: float
 
 
-@dataclass(slots=True)
-class _Placed:
-    request: WaitingRequest
-    target: str
-    started_s: float
-
-
-@dataclass(slots=True, kw_only=True)
-class _TargetState:
-    spec: PlacementTarget
-    belief: TargetBelief
-    joined_s: float
-    in_flight: dict[tuple[str, int], _Placed] = field(default_factory=dict)
-    is_untried: bool = True
-    recent_starts: deque[float] = field(default_factory=deque)
-    # Time until which an instance is not sent here, by its name.
-    unreachable_from: dict[str, float] = field(default_factory=dict)
-    shed_until_s: float = 0.0
-    latest_start_s: float = float("-inf")
-
-    def note_unreachable(self, asker: str, now_s: float) -> bool:
-        """Note that an instance could not connect.
-
-        :returns: whether so many could not that the target seems to be down.
-        """
-        self.unreachable_from[asker] = now_s + PATH_PAUSE_S
-        late = [name for name, until_s in self.unreachable_from.items() if until_s <= now_s]
-        for name in late:
-            del self.unreachable_from[name]
-        return len(self.unreachable_from) >= DOWN_PATHS
-
-
-class _Results:
-    """Requests that were served, and that were not, in the last seconds."""
-
-    __slots__ = ("_entries", "_served", "_unserved")
-
-    def __init__(self) -> None:
-        self._entries: deque[tuple[float, int, int]] = deque()
-        self._served = 0
-        self._unserved = 0
-
-    def add(self, served: int, unserved: int, now_s: float) -> None:
-        if served or unserved:
-            self._entries.append((now_s, served, unserved))
-            self._served += served
-            self._unserved += unserved
-
-    def unserved_share(self, now_s: float) -> float:
-        while self._entries and now_s - self._entries[0][0] > UNSERVED_WINDOW_S:
-            _, served, unserved = self._entries.popleft()
-            self._served -= served
-            self._unserved -= unserved
-        return self._unserved / max(1, self._served + self._unserved)
-
-
 Decision = tuple[WaitingRequest, PlacementReply]
 
 
@@ -173,12 +76,12 @@
         self._repeats = repeats
         self._crashes = CrashStreaks()
         self._line = WaitingLine()
-        self._targets: dict[str, _TargetState] = {}
-        self._placed: dict[tuple[str, int], _Placed] = {}
+        self._targets: dict[str, TargetState] = {}
+        self._placed: dict[tuple[str, int], PlacedRequest] = {}
         # Answers to questions that may be asked again, as a datagram was lost.
         self._finished: dict[tuple[str, int], PlacementReply] = {}
         self._undelivered: list[Decision] = []
-        self._results = _Results()
+        self._results = RecentResults()
         self._slot_count = 0
         self._looked_for_lost_s = float("-inf")
         self.service_time_s = FIRST_SERVICE_TIME_S
@@ -202,7 +105,7 @@
         for name, spec in wanted.items():
             known = self._targets.get(name)
             if known is None or known.spec.address != spec.address:
-                self._targets[name] = _TargetState(
+                self._targets[name] = TargetState(
                     spec=spec, belief=TargetBelief(now_s=now_s), joined_s=now_s
                 )
             else:
@@ -265,12 +168,11 @@
         state = self._targets.get(placed.target)
         if state is None:
             return None
-        state.in_flight.pop(key, None)
+        state.end(key)
         before = state.belief.failing(now_s)
-        self._observe(state, key[0], outcome, latency_s, now_s)
+        state.observe(key[0], outcome, latency_s, self.service_time_s, now_s)
         if outcome is Outcome.SUCCESS:
             self.service_time_s += SERVICE_TIME_WEIGHT * (latency_s - self.service_time_s)
-        if outcome is Outcome.SUCCESS:
             return None
         return PlacementEvent(
             target=placed.target,
@@ -279,18 +181,6 @@
             failing_after=state.belief.failing(now_s),
         )
 
-    def _observe(
-        self, state: _TargetState, asker: str, outcome: Outcome, latency_s: float, now_s: float
-    ) -> None:
-        if outcome is Outcome.CONNECT_FAILURE and not state.note_unreachable(asker, now_s):
-            return
-        if outcome is Outcome.SHED:
-            state.shed_until_s = now_s + SHED_PAUSE_S
-            if len(state.in_flight) < state.spec.slot_count:
-                # With slots free by this home's count, it sheds for a fault of its own.
-                outcome = Outcome.ERROR
-        state.belief.observe(outcome, latency_s, self.service_time_s, now_s)
-
     def step(self, now_s: float) -> list[Decision]:
         """Place or refuse waiting requests; their instances are to be told."""
         self._drop_lost(now_s)
@@ -359,12 +249,9 @@
             return None
         if ask.is_repeat:
             self._repeats.note_repeat(now_s)
-        placed = _Placed(request, state.spec.name, now_s)
+        placed = PlacedRequest(request=request, target=state.spec.name, started_s=now_s)
         self._placed[request.key] = placed
-        state.in_flight[request.key] = placed
-        state.recent_starts.append(now_s)
-        state.is_untried = False
-        state.latest_start_s = now_s
+        state.start(placed)
         patience_s = max(PATIENCE_MIN_S, PATIENCE_RATIO * self.service_time_s)
         return PlacementReply(
             ask_id=ask.ask_id,
@@ -373,7 +260,7 @@
             address=state.spec.address,
             patience_ms=int(MS_PER_S * patience_s),
             service=ask.service,
-            doubt_percent=round(PERCENT * self._doubt(state, now_s)),
+            doubt_percent=round(PERCENT * state.doubt(self.service_time_s, now_s)),
             waiting_count=len(self._line) - 1,
             free_slot_count=self._free_slot_count(),
         )
@@ -398,40 +285,36 @@
             del self._placed[key]
             state = self._targets.get(placed.target)
             if state is not None:
-                state.in_flight.pop(key, None)
+                state.end(key)
 
     # Choice of the target
 
-    def _choose(self, request: WaitingRequest, now_s: float) -> _TargetState | None:
+    def _choose(self, request: WaitingRequest, now_s: float) -> TargetState | None:
         reachable = [
             state
             for name, state in self._targets.items()
             if name not in request.ask.excluded
-            and now_s >= state.unreachable_from.get(request.key[0], 0.0)
-            and self._has_room(state, now_s)
+            and state.is_reachable(request.key[0], now_s)
+            and state.has_room(now_s)
         ]
         if self._results.unserved_share(now_s) > UNSERVED_SHARE_MAX:
             idle = self._longest_idle(reachable, now_s)
             if idle is not None:
                 return idle
         limit = self._doubt_limit(request, now_s)
-        best: tuple[float, _TargetState] | None = None
+        best: tuple[float, TargetState] | None = None
         for state in reachable:
-            doubt = self._doubt(state, now_s)
+            doubt = state.doubt(self.service_time_s, now_s)
             if doubt > limit:
                 continue
-            cost = doubt + self._burden(state, request, now_s)
+            cost = doubt + state.burden(request, self.service_time_s, now_s)
             if best is None or cost < best[0]:
                 best = (cost, state)
         return None if best is None else best[1]
 
     @staticmethod
-    def _longest_idle(states: list[_TargetState], now_s: float) -> _TargetState | None:
-        idle = [
-            state
-            for state in states
-            if now_s - state.latest_start_s > IDLE_MAX_S and now_s >= state.belief.down_until_s
-        ]
+    def _longest_idle(states: list[TargetState], now_s: float) -> TargetState | None:
+        idle = [state for state in states if state.is_idle(IDLE_MAX_S, now_s)]
         return min(idle, key=lambda state: state.latest_start_s, default=None)
 
     def _doubt_limit(self, request: WaitingRequest, now_s: float) -> float:
@@ -446,47 +329,11 @@
     def _has_sounder_target(self, request: WaitingRequest, now_s: float) -> bool:
         """Tell whether waiting makes sense: a sound target is only busy."""
         return any(
-            name not in request.ask.excluded and self._doubt(state, now_s) <= DOUBT_AT_ONCE
+            name not in request.ask.excluded
+            and state.doubt(self.service_time_s, now_s) <= DOUBT_AT_ONCE
             for name, state in self._targets.items()
         )
 
-    def _doubt(self, state: _TargetState, now_s: float) -> float:
-        doubt = state.belief.failing(now_s)
-        if now_s < state.belief.down_until_s:
-            return 1.0
-        overdue_s = max(OVERDUE_MIN_S, OVERDUE_RATIO * self.service_time_s)
-        if any(now_s - placed.started_s > overdue_s for placed in state.in_flight.values()):
-            doubt += OVERDUE_DOUBT
-        return min(1.0, doubt)
-
-    def _has_room(self, state: _TargetState, now_s: float) -> bool:
-        spec = state.spec
-        if now_s < state.shed_until_s:
-            return False
-        while state.recent_starts and now_s - state.recent_starts[0] > COLD_WINDOW_S:
-            state.recent_starts.popleft()
-        if now_s >= spec.cold_until_s:
-            return len(state.in_flight) < spec.slot_count
-        allowed = max(1, int(COLD_RATE_SHARE * spec.cold_rate_per_s))
-        return len(state.in_flight) < COLD_CONCURRENCY and len(state.recent_starts) < allowed
-
-    def _burden(self, state: _TargetState, request: WaitingRequest, now_s: float) -> float:
-        """Return what speaks against a target besides the doubt about it."""
-        spec = state.spec
-        load = len(state.in_flight) / max(1, spec.slot_count)
-        burden = LOAD_WEIGHT * load * load
-        if spec.data_centre != request.ask.data_centre:
-            burden += DISTANCE_WEIGHT
-        if state.belief.mean_latency_s and self.service_time_s:
-            burden += LATENCY_WEIGHT * min(4.0, state.belief.mean_latency_s / self.service_time_s)
-        if now_s < spec.cold_until_s:
-            burden += LOAD_WEIGHT
-        may_try = request.ask.is_repeatable or now_s - state.joined_s > UNTRIED_PAUSE_S
-        if state.is_untried and may_try:
-            burden -= UNTRIED_PREFERENCE
-        idle = min(1.0, (now_s - state.latest_start_s) / IDLE_FULL_S)
-        return burden - IDLE_PREFERENCE * idle
-
 
 def may_run_again(outcome: Outcome, *, is_repeatable: bool) -> bool:
     """Tell whether a request may be sent again after a try with this outcome."""
--- /dev/null
+++ b/packages/core/src/tanagerreach_core/_target_state.py
@@ -0,0 +1,175 @@
+"""What a service's home knows of one target: its room, and what speaks against it."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from ._outcomes import Outcome
+from ._target_belief import TargetBelief
+from ._waiting_line import WaitingRequest
+
+# Share of a cold target's announced rate that is used, since its own window may lie elsewhere.
+COLD_RATE_SHARE = 0.8
+COLD_CONCURRENCY = 2
+COLD_WINDOW_S = 1.0
+# A request in flight for this many times the usual latency speaks against its target.
+OVERDUE_RATIO = 4.0
+OVERDUE_MIN_S = 0.5
+OVERDUE_DOUBT = 0.5
+# Weights of what makes one target less preferable than another, against the probability that it
+# fails the request.
+LOAD_WEIGHT = 0.15
+DISTANCE_WEIGHT = 0.06
+LATENCY_WEIGHT = 0.05
+# A target that was not tried since it joined takes the next repeatable request, and after a while
+# any request, so that it shares the load.
+UNTRIED_PREFERENCE = 0.4
+UNTRIED_PAUSE_S = 1.0
+# Targets may turn cold without notice, so a rate near what a cold one bears is spread.
+RATE_WEIGHT = 0.15
+IDLE_PREFERENCE = 0.05
+IDLE_FULL_S = 1.5
+# An instance that cannot connect to a target is not sent there for a while. Only when several
+# instances cannot, the target itself is taken to be down.
+PATH_PAUSE_S = 4.0
+DOWN_PATHS = 2
+SHED_PAUSE_S = 0.25
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class PlacementTarget:
+    """A target that may take requests.
+
+    :param slot_count: requests that it runs at the same time.
+    :param cold_until_s: time until which it is cold, 0 when it is warm.
+    :param cold_rate_per_s: requests per second that it bears while it is cold.
+    """
+
+    name: str
+    address: str
+    data_centre: str
+    slot_count: int
+    cold_until_s: float = 0.0
+    cold_rate_per_s: float = 0.0
+
+
+@dataclass(slots=True, kw_only=True)
+class PlacedRequest:
+    """A request that has a place at a target."""
+
+    request: WaitingRequest
+    target: str
+    started_s: float
+
+
+@dataclass(slots=True, kw_only=True)
+class TargetState:
+    """A target with its requests, and the belief in it."""
+
+    spec: PlacementTarget
+    belief: TargetBelief
+    joined_s: float
+    in_flight: dict[tuple[str, int], PlacedRequest] = field(default_factory=dict)
+    _is_untried: bool = True
+    _recent_starts: deque[float] = field(default_factory=deque)
+    # Time until which an instance is not sent here, by its name.
+    _unreachable_from: dict[str, float] = field(default_factory=dict)
+    _shed_until_s: float = 0.0
+    _latest_start_s: float = float("-inf")
+
+    def _note_unreachable(self, asker: str, now_s: float) -> bool:
+        """Note that an instance could not connect.
+
+        :returns: whether so many could not that the target seems to be down.
+        """
+        self._unreachable_from[asker] = now_s + PATH_PAUSE_S
+        late = [name for name, until_s in self._unreachable_from.items() if until_s <= now_s]
+        for name in late:
+            del self._unreachable_from[name]
+        return len(self._unreachable_from) >= DOWN_PATHS
+
+    def start(self, placed: PlacedRequest) -> None:
+        """Take a request."""
+        self.in_flight[placed.request.key] = placed
+        self._recent_starts.append(placed.started_s)
+        self._latest_start_s = placed.started_s
+        self._is_untried = False
+
+    def end(self, key: tuple[str, int]) -> None:
+        """Give a request's slot back."""
+        self.in_flight.pop(key, None)
+
+    def observe(
+        self, asker: str, outcome: Outcome, latency_s: float, usual_s: float, now_s: float
+    ) -> None:
+        """Take in how a request ended that an instance sent here."""
+        if outcome is Outcome.CONNECT_FAILURE and not self._note_unreachable(asker, now_s):
+            return
+        if outcome is Outcome.SHED:
+            self._shed_until_s = now_s + SHED_PAUSE_S
+            if len(self.in_flight) < self.spec.slot_count:
+                # With slots free by this home's count, it sheds for a fault of its own.
+                outcome = Outcome.ERROR
+        self.belief.observe(outcome, latency_s, usual_s, now_s)
+
+    def is_reachable(self, asker: str, now_s: float) -> bool:
+        """Tell whether an instance may be sent here."""
+        return now_s >= self._unreachable_from.get(asker, 0.0)
+
+    def is_idle(self, for_s: float, now_s: float) -> bool:
+        """Tell whether it is up and got no request for some time."""
+        return now_s - self._latest_start_s > for_s and now_s >= self.belief.down_until_s
+
+    @property
+    def latest_start_s(self) -> float:
+        """Time of its latest request."""
+        return self._latest_start_s
+
+    def doubt(self, usual_s: float, now_s: float) -> float:
+        """Return how likely it fails a request now.
+
+        :param usual_s: usual latency of the service.
+        """
+        if now_s < self.belief.down_until_s:
+            return 1.0
+        doubt = self.belief.failing(now_s)
+        overdue_s = max(OVERDUE_MIN_S, OVERDUE_RATIO * usual_s)
+        if any(now_s - placed.started_s > overdue_s for placed in self.in_flight.values()):
+            doubt += OVERDUE_DOUBT
+        return min(1.0, doubt)
+
+    def has_room(self, now_s: float) -> bool:
+        """Tell whether it may take one more request."""
+        if now_s < self._shed_until_s:
+            return False
+        started_count = self._started_count(now_s)
+        if now_s >= self.spec.cold_until_s:
+            return len(self.in_flight) < self.spec.slot_count
+        if len(self.in_flight) >= COLD_CONCURRENCY:
+            return False
+        if self.spec.cold_rate_per_s <= 0:
+            return True
+        return started_count < max(1, int(COLD_RATE_SHARE * self.spec.cold_rate_per_s))
+
+    def burden(self, request: WaitingRequest, usual_s: float, now_s: float) -> float:
+        """Return what speaks against it besides the doubt about it."""
+        spec = self.spec
+        load = len(self.in_flight) / max(1, spec.slot_count)
+        burden = LOAD_WEIGHT * load * load
+        if spec.data_centre != request.ask.data_centre:
+            burden += DISTANCE_WEIGHT
+        if self.belief.mean_latency_s and usual_s:
+            burden += LATENCY_WEIGHT * min(4.0, self.belief.mean_latency_s / usual_s)
+        if now_s < spec.cold_until_s:
+            burden += LOAD_WEIGHT
+        if spec.cold_rate_per_s > 0:
+            burden += RATE_WEIGHT * self._started_count(now_s) / spec.cold_rate_per_s
+        may_try = request.ask.is_repeatable or now_s - self.joined_s > UNTRIED_PAUSE_S
+        if self._is_untried and may_try:
+            burden -= UNTRIED_PREFERENCE
+        idle = min(1.0, (now_s - self._latest_start_s) / IDLE_FULL_S)
+        return burden - IDLE_PREFERENCE * idle
+
+    def _started_count(self, now_s: float) -> int:
+        while self._recent_starts and now_s - self._recent_starts[0] > COLD_WINDOW_S:
+            self._recent_starts.popleft()
+        return len(self._recent_starts)
--- a/packages/core/src/tanagerreach_core/placement.py
+++ b/packages/core/src/tanagerreach_core/placement.py
@@ -1,10 +1,11 @@
 """Placement of requests by the homes of services and workspaces, and the roster of the fleet."""
 
 from ._crash_streaks import CrashStreaks
-from ._placement import PlacementEvent, PlacementTarget, ServicePlacement, may_run_again
+from ._placement import PlacementEvent, ServicePlacement, may_run_again
 from ._repeat_budget import RepeatBudget
 from ._roster import Peer, Roster
 from ._target_belief import TargetBelief
+from ._target_state import PlacementTarget
 from ._waiting_line import WaitingLine, WaitingRequest
 from ._workspace_quota import WorkspaceQuota
 
--- a/packages/core/tests/test_placement.py
+++ b/packages/core/tests/test_placement.py
@@ -264,6 +264,23 @@
             placement.end(key, Outcome.SUCCESS, 0.05, b"", now_s + 0.05)
         self.assertLessEqual({"t2", "t3"}, chosen)
 
+    def test_no_target_gets_the_rate_that_a_cold_one_cannot_bear(self):
+        """Guards against a target that falls over when it turns cold without notice.
+
+        Load pattern: short requests, which one target's slots could all run.
+        """
+        placement = made_placement(made_targets(6, cold_rate_per_s=10.0))
+        asker = Asker(placement)
+        starts = {}
+        for number in range(165):
+            now_s = number / 33.0
+            key, reply = asker.ask(now_s)
+            starts.setdefault(reply.target, []).append(now_s)
+            placement.end(key, Outcome.SUCCESS, 0.02, b"", now_s + 0.02)
+        for times in starts.values():
+            for first in times:
+                self.assertLessEqual(sum(first <= at_s < first + 1.0 for at_s in times), 10)
+
     def test_leaving_target_gets_nothing(self):
         """Guards against work for a target that was taken off the list."""
         placement = made_placement(made_targets(2))
