Check the store at once when a peer loses it, and correct the divided fleet's test

In a general outage each request asked three homes that first waited 0.15 s for a list. Instances now look at once when a peer says that it lost the store, a home without the store answers at once, and nobody asks for current lists when no instance has the store.

--- a/packages/core/src/tanagerreach_core/_roster.py
+++ b/packages/core/src/tanagerreach_core/_roster.py
@@ -105,6 +105,10 @@
         """Tell whether a peer was heard of late."""
         return now_s - peer.heard_s <= self.silence_limit_s
 
+    def has_store(self, home: Peer | None) -> bool:
+        """Tell whether the store answers a home, ``None`` being this instance."""
+        return self.own_has_store if home is None else home.has_store
+
     def homes(self, thing: bytes, now_s: float) -> list[Peer | None]:
         """Return the live instances by preference for a thing; ``None`` stands for this one.
 
--- a/packages/core/tests/test_roster.py
+++ b/packages/core/tests/test_roster.py
@@ -103,10 +103,12 @@
         """
         cut_s = 10.0
         for size in (2, 4, 6):
-            sides = {}
             first = home_name(made_roster("i0", NAMES, 0.0), "i0", b"w:w", 0.1)
             others = [name for name in NAMES if name != first]
-            sides = ([first, *others[: size - 1]], others[size - 1 :])
+            far = others[size - 1 :]
+            second = home_name(made_roster(far[0], far, 0.0), far[0], b"w:w", 0.1)
+            far.remove(second)
+            sides = ([first, *others[: size - 1]], [second, *far])
             issued = []
             for side in sides:
                 has_home = side[0] == first
--- a/packages/daemon/src/tanagerreachd/gateway/_followers.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_followers.py
@@ -29,6 +29,8 @@
 """Time between two reads of changes; a target that leaves is avoided within a second."""
 TARGET_NEED_S = 10.0
 """An instance follows the entries for this long after it last placed a request."""
+CHECK_AGE_S = 0.5
+"""An answer of the store that is younger than this shows well enough that it is there."""
 SPARE_LIST_INTERVAL_S = 4.0
 """Interval at which an instance that places nothing reads a stale list."""
 DAY_S = 86_400.0
@@ -241,7 +243,7 @@
         self._random = random
         self._availability = _Availability(part="targets", log=log, random=random)
         self._needed_until_s = float("-inf")
-        self._needed = Event()
+        self._wake = Event()
         self._is_following = False
         self._answered_s = float("-inf")
         self._peer_listing: Callable[[], Listing | None] = lambda: None
@@ -267,19 +269,28 @@
 
     def need(self) -> None:
         """Note that this instance places requests now."""
+        was_needed = self._is_needed
         self._needed_until_s = _clock.now_s() + TARGET_NEED_S
-        if not self._needed.is_set():
-            self._needed.set()
+        if not was_needed:
+            self._wake.set()
+
+    def check(self) -> None:
+        """Find out whether the store answers this instance, as it does not answer a peer."""
+        if _clock.now_s() - self._answered_s > CHECK_AGE_S:
+            self._wake.set()
+
+    @property
+    def _is_needed(self) -> bool:
+        return _clock.now_s() < self._needed_until_s
 
     def run(self) -> None:
         """Make one step: follow changes while that is needed, else refresh a spare list."""
-        if _clock.now_s() >= self._needed_until_s:
+        if not self._is_needed:
             self._is_following = False
-            self._needed.clear()
             if len(self._directory):
-                interval_s = SPARE_LIST_INTERVAL_S * self._random.uniform(0.8, 1.2)
-                self._needed.wait(interval_s)
-        is_needed = self._needed.is_set()
+                self._wake.wait(SPARE_LIST_INTERVAL_S * self._random.uniform(0.8, 1.2))
+        self._wake.clear()
+        is_needed = self._is_needed
         try:
             if is_needed and self._is_following:
                 self._follow()
--- a/packages/daemon/src/tanagerreachd/gateway/_home_server.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_home_server.py
@@ -92,8 +92,10 @@
         self._need_targets()
         if ask.accepts_stale or self._is_current():
             self._place(asker, ask, reply)
-        else:
+        elif self._roster.own_has_store:
             gevent.spawn(self._place_when_current, asker, ask, reply)
+        else:
+            reply(PlacementReply(ask_id=ask.ask_id, state=PlacementState.NOT_CURRENT))
 
     def end(self, asker: str, message: PlacementEnd) -> None:
         """Take in how a request ended."""
--- a/packages/daemon/src/tanagerreachd/gateway/_instance.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_instance.py
@@ -376,6 +376,8 @@
         peer.data_centre = message.data_centre
         peer.is_leaving = message.is_leaving
         peer.is_serving = message.is_serving
+        if peer.has_store and not message.has_store:
+            self._targets.check()
         peer.has_store = message.has_store
         peer.configuration_version = message.configuration_version
         if message.known_peers:
--- a/packages/daemon/src/tanagerreachd/gateway/_placement_client.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_placement_client.py
@@ -76,6 +76,8 @@
         homes = self._homes_of(service_thing(first.service))
         # When no home is sure of its targets, the first one that answers decides by what it has.
         for accepts_stale in (False, True):
+            if not accepts_stale and homes and not self._roster.has_store(homes[0]):
+                continue
             for home in list(homes):
                 ask = make_ask(self._calls.next_id(), accepts_stale)
                 reply = self._converse(home, ask)
