Pass beliefs about targets on to the next home

A home that stops or dies took what it had seen with it, so the next one lost a request at each failing target again, at every step of a rolling restart. It now sends a digest each 0.4 s, and when it stops, to the instance that would take over; newer outcomes seen there are kept. Not yet measured.

--- a/packages/core/src/tanagerreach_core/_messages.py
+++ b/packages/core/src/tanagerreach_core/_messages.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from ._placement_messages import (
+    BeliefDigest,
     Heartbeat,
     PlacementAsk,
     PlacementEnd,
@@ -271,6 +272,7 @@
     | QuotaReply
     | Received
     | Heartbeat
+    | BeliefDigest
 )
 
 
--- a/packages/core/src/tanagerreach_core/_placement.py
+++ b/packages/core/src/tanagerreach_core/_placement.py
@@ -12,7 +12,13 @@
 
 from ._crash_streaks import CrashStreaks
 from ._outcomes import NOT_STARTED, Outcome
-from ._placement_messages import PlacementAsk, PlacementReply, PlacementState, RefusalCause
+from ._placement_messages import (
+    BeliefDigest,
+    PlacementAsk,
+    PlacementReply,
+    PlacementState,
+    RefusalCause,
+)
 from ._recent_results import RecentResults
 from ._repeat_budget import RepeatBudget
 from ._target_belief import TargetBelief
@@ -37,6 +43,8 @@
 LOST_END_INTERVAL_S = 0.25
 RETRY_AFTER_MIN_S = 0.2
 FINISHED_KEPT = 512
+# A digest has to fit into one datagram; the most doubtful targets go first.
+DIGEST_TARGETS_MAX = 300
 
 
 @dataclass(slots=True, kw_only=True)
@@ -181,6 +189,35 @@
             failing_after=state.belief.failing(now_s),
         )
 
+    def digest(self, service: str, now_s: float) -> BeliefDigest:
+        """Return what is believed of the targets, for the home that may take over."""
+        beliefs = sorted(
+            (
+                (
+                    -round(state.doubt(self.service_time_s, now_s), 3),
+                    int(MS_PER_S * state.belief.age_s(now_s)),
+                    name,
+                )
+                for name, state in self._targets.items()
+            )
+        )
+        return BeliefDigest(
+            service=service,
+            service_time_ms=int(MS_PER_S * self.service_time_s),
+            failing={
+                name: (-negative, age_ms) for negative, age_ms, name in beliefs[:DIGEST_TARGETS_MAX]
+            },
+        )
+
+    def adopt(self, digest: BeliefDigest, now_s: float) -> None:
+        """Take over what the former home believes, where nothing newer was seen here."""
+        for name, (failing, age_ms) in digest.failing.items():
+            state = self._targets.get(name)
+            if state is not None:
+                state.belief.adopt(failing, age_ms / MS_PER_S, now_s)
+        if not self._placed:
+            self.service_time_s = digest.service_time_ms / MS_PER_S
+
     def step(self, now_s: float) -> list[Decision]:
         """Place or refuse waiting requests; their instances are to be told."""
         self._drop_lost(now_s)
--- a/packages/core/src/tanagerreach_core/_placement_messages.py
+++ b/packages/core/src/tanagerreach_core/_placement_messages.py
@@ -132,3 +132,15 @@
     configuration_version: int
     has_store: bool
     known_peers: dict[str, str] = msgspec.field(default_factory=dict)
+
+
+class BeliefDigest(msgspec.Struct, kw_only=True, array_like=True, tag=27):
+    """Tells the instance that would take over a service what its home believes of the targets.
+
+    ``failing`` has, by target, the probability that it fails requests now, and the milliseconds
+    since its latest outcome.
+    """
+
+    service: str
+    service_time_ms: int
+    failing: dict[str, tuple[float, int]]
--- a/packages/core/src/tanagerreach_core/_target_belief.py
+++ b/packages/core/src/tanagerreach_core/_target_belief.py
@@ -56,6 +56,20 @@
         kept = math.exp(-_RELAXING_PER_S * age_s)
         return _LONG_TERM + (self._failing - _LONG_TERM) * kept
 
+    def age_s(self, now_s: float) -> float:
+        """Return the time since the latest outcome."""
+        return max(0.0, now_s - self._updated_s)
+
+    def adopt(self, failing: float, age_s: float, now_s: float) -> None:
+        """Take over what another home believes, unless an outcome was seen here since.
+
+        :param failing: probability that the target fails requests now.
+        :param age_s: time since the latest outcome that the other home saw.
+        """
+        if now_s - age_s > self._updated_s:
+            self._failing = min(PROBABILITY_MAX, max(PROBABILITY_MIN, failing))
+            self._updated_s = now_s
+
     def observe(self, outcome: Outcome, latency_s: float, usual_s: float, now_s: float) -> None:
         """Take in how a request ended.
 
--- a/packages/core/src/tanagerreach_core/messages.py
+++ b/packages/core/src/tanagerreach_core/messages.py
@@ -25,6 +25,7 @@
     TokenRequest,
 )
 from ._placement_messages import (
+    BeliefDigest,
     Heartbeat,
     PlacementAsk,
     PlacementEnd,
@@ -39,6 +40,7 @@
 
 __all__ = [
     "ASKS_FOR_REPORT",
+    "BeliefDigest",
     "Borrower",
     "ClaimReply",
     "ClaimRequest",
--- a/packages/core/tests/test_placement.py
+++ b/packages/core/tests/test_placement.py
@@ -281,6 +281,37 @@
             for first in times:
                 self.assertLessEqual(sum(first <= at_s < first + 1.0 for at_s in times), 10)
 
+    def test_next_home_knows_what_failed(self):
+        """Guards against losing a request at each failing target again when a home moves.
+
+        Load pattern: all instances are restarted in turn while targets fail by turns.
+        """
+        former = made_placement(made_targets(4))
+        asker = Asker(former)
+        for _ in range(3):
+            key, reply = asker.ask(1.0)
+            former.end(key, Outcome.BROKEN_BEFORE_HEAD, 0.01, b"", 1.0)
+        doubtful = {
+            name for name, (failing, _) in former.digest("s", 1.1).failing.items() if failing > 0.3
+        }
+        self.assertTrue(doubtful)
+        heir = made_placement(made_targets(4))
+        heir.adopt(former.digest("s", 1.1), 1.1)
+        other = Asker(heir)
+        chosen = {other.ask(1.2)[1].target for _ in range(4 * (4 - len(doubtful)))}
+        self.assertEqual(chosen & doubtful, set())
+
+    def test_own_news_are_kept(self):
+        """Guards against an older belief that replaces what was just seen."""
+        placement = made_placement(made_targets(1))
+        older = placement.digest("s", 0.5)
+        asker = Asker(placement)
+        key, _ = asker.ask(1.0)
+        placement.end(key, Outcome.BROKEN_BEFORE_HEAD, 0.01, b"", 1.0)
+        before = placement.digest("s", 1.1).failing["t0"][0]
+        placement.adopt(older, 1.1)
+        self.assertEqual(placement.digest("s", 1.1).failing["t0"][0], before)
+
     def test_leaving_target_gets_nothing(self):
         """Guards against work for a target that was taken off the list."""
         placement = made_placement(made_targets(2))
--- a/packages/daemon/src/tanagerreachd/gateway/_home_server.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_home_server.py
@@ -6,6 +6,7 @@
 import gevent
 from tanagerreach_core.config import Configuration, Resolver
 from tanagerreach_core.messages import (
+    BeliefDigest,
     PlacementAsk,
     PlacementEnd,
     PlacementReply,
@@ -31,6 +32,10 @@
 RETURNED_DATA_CENTRE_S = 1.0
 """Targets of a data centre that is taken back may be cold; their entries say so after a heartbeat,
 so until then they get no more than cold ones."""
+DIGEST_AFTER_ASK_S = 1.0
+"""A home that was not asked for this long is no longer the one, and does not tell its beliefs."""
+INHERITANCE_S = 3.0
+"""Beliefs of a former home that are older than this say no more than no belief."""
 DIRECTORY_WAIT_S = 0.15
 """Longest wait for the first list of targets after this instance became a home."""
 
@@ -84,6 +89,8 @@
         self._waiting: dict[str, dict[tuple[str, int], Reply]] = {}
         self._quota = WorkspaceQuota()
         self._list_age_ms = list_age_ms
+        self._asked_s: dict[str, float] = {}
+        self._inherited: dict[str, tuple[BeliefDigest, float]] = {}
         self._returned_s: dict[str, float] = {}
         self._out: frozenset[str] = frozenset()
 
@@ -153,6 +160,22 @@
             fleet_percent=round(100 * fleet_share),
         )
 
+    def digests(self, now_s: float) -> list[BeliefDigest]:
+        """Return what is believed of the targets of services that were asked for of late."""
+        return [
+            self._services[name].digest(name, now_s)
+            for name, asked_s in self._asked_s.items()
+            if now_s - asked_s < DIGEST_AFTER_ASK_S and name in self._services
+        ]
+
+    def inherit(self, digest: BeliefDigest) -> None:
+        """Take over what the former home of a service, or its present one, believes."""
+        now_s = _clock.now_s()
+        self._inherited[digest.service] = (digest, now_s)
+        service = self._services.get(digest.service)
+        if service is not None:
+            service.adopt(digest, now_s)
+
     def apply_configuration(self, configuration: Configuration) -> None:
         """Take in a new configuration."""
         out = frozenset(name for name, item in configuration.data_centres.items() if item.out)
@@ -162,6 +185,8 @@
         self._quota.keep_only(set(configuration.workspaces))
         for name in set(self._services) - set(configuration.services):
             del self._services[name]
+            self._asked_s.pop(name, None)
+            self._inherited.pop(name, None)
         self.targets_changed()
 
     def targets_changed(self) -> None:
@@ -193,6 +218,7 @@
         service = self._services.get(ask.service)
         if service is None:
             service = self._add_service(ask.service, now_s)
+        self._asked_s[ask.service] = now_s
         key = (asker, ask.ask_id)
         answer = service.ask(key, ask, now_s)
         waiting = self._waiting[ask.service]
@@ -214,6 +240,9 @@
         )
         self._waiting[name] = {}
         service.configure(self._targets(name, now_s), now_s)
+        inherited = self._inherited.get(name)
+        if inherited is not None and now_s - inherited[1] < INHERITANCE_S:
+            service.adopt(inherited[0], now_s)
         self._log.info("service homed here", service=name, target_count=len(self._directory))
         return service
 
--- a/packages/daemon/src/tanagerreachd/gateway/_instance.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_instance.py
@@ -10,6 +10,7 @@
 from gevent.pywsgi import WSGIServer
 from tanagerreach_core.config import Resolver
 from tanagerreach_core.messages import (
+    BeliefDigest,
     Borrower,
     Heartbeat,
     PlacementAsk,
@@ -20,6 +21,7 @@
     Received,
 )
 from tanagerreach_core.placement import Roster
+from tanagerreach_core.rights import service_thing
 
 from .. import _clock
 from .._caller_watch import CallerWatch
@@ -59,6 +61,8 @@
 kernel after 0.2 s."""
 TARGET_SILENCE_S = 30.0
 HEARTBEAT_S = 0.8
+DIGEST_INTERVAL_S = 0.4
+"""A home that dies takes what it has seen in this time with it."""
 HEARTBEATS_PER_S_MAX = 112.0
 """Bounds the heartbeats that an instance of a large fleet sends."""
 REGISTRATION_INTERVAL_S = 180.0
@@ -251,6 +255,7 @@
         self._loops.start(self._targets.run)
         self._loops.start(self._homes.run)
         self._loops.start(self._beat)
+        self._loops.start(self._tell_beliefs, DIGEST_INTERVAL_S)
         self._loops.start(self._watch.run)
         self._loops.start(self._sweep, SWEEP_S)
         gevent.spawn(self._register)
@@ -260,6 +265,7 @@
         self._is_leaving = True
         self._roster.own_is_home = False
         self._log.info("instance stops", active_count=self._callers.active_count)
+        self._tell_beliefs()
         self._tell_peers()
         self._callers.begin_drain()
         self._callers.close_idle_connections()
@@ -330,6 +336,15 @@
         self._roster.heartbeat_s = interval_s
         gevent.sleep(interval_s * self._random.uniform(0.9, 1.0))
 
+    def _tell_beliefs(self) -> None:
+        """Tell the next home of each service homed here what is believed of its targets."""
+        now_s = _clock.now_s()
+        for digest in self._homes.digests(now_s):
+            homes = self._roster.homes(service_thing(digest.service), now_s)
+            heir = next((home for home in homes if home is not None), None)
+            if heir is not None:
+                self._link.send(heir.address, digest)
+
     def _tell_peers(self) -> None:
         for peer in self._roster.peers:
             self._send_heartbeat(peer.address, {})
@@ -362,6 +377,8 @@
             self._link.send(address, self._homes.take_quota(name, message))
         elif isinstance(message, Received):
             self._calls.confirmed(message.ask_id)
+        elif isinstance(message, BeliefDigest):
+            self._homes.inherit(message)
         elif isinstance(message, QuotaReply):
             self._calls.deliver(message)
         elif isinstance(message, PlacementReply) and not self._calls.deliver(message):
