--- a/packages/core/src/tanagerreach_core/_messages.py
+++ b/packages/core/src/tanagerreach_core/_messages.py
@@ -19,6 +19,7 @@
     QuotaAsk,
     QuotaReply,
     Received,
+    RefusalNotice,
 )
 from ._slots import SlotSet
 
@@ -273,6 +274,7 @@
     | Received
     | Heartbeat
     | BeliefDigest
+    | RefusalNotice
 )
 
 
--- a/packages/core/src/tanagerreach_core/_placement.py
+++ b/packages/core/src/tanagerreach_core/_placement.py
@@ -31,10 +31,12 @@
 SERVICE_TIME_WEIGHT = 0.05
 # How doubtful a target a request takes at once; the bound rises to 1 while the request waits.
 DOUBT_AT_ONCE = 0.3
-# While many of a service's requests are not served, each target that can be reached is tried again
-# after a pause, also a doubtful one, since an idle target that is sound again could serve more.
-UNSERVED_SHARE_MAX = 0.08
+# While a part of a service's requests is refused, each target that can be reached is tried again
+# after a pause, also a doubtful one: an idle target that is sound again could serve more. Failures
+# do not count here, since tries at failing targets would then bring on more of them.
+REFUSED_SHARE_MAX = 0.05
 IDLE_MAX_S = 1.0
+IDLE_MAX_UNSAFE_S = 1.4
 # A target answers nearly all requests within this many times its usual latency.
 PATIENCE_RATIO = 6.0
 PATIENCE_MIN_S = 0.4
@@ -134,10 +136,9 @@
             deadline_s=now_s + ask.remaining_ms / MS_PER_S,
             objective_s=now_s + ask.objective_ms / MS_PER_S,
         )
-        self._results.add(0, ask.refused_count, now_s)
         refusal = self._refusal(request, now_s)
         if refusal is not None:
-            self._results.add(0, 1, now_s)
+            self.note_refusal(now_s)
             return self._finish(request, refusal)
         if not ask.is_repeat:
             self._repeats.note_first(now_s)
@@ -150,6 +151,10 @@
                 return reply
         return PlacementReply(ask_id=ask.ask_id, state=PlacementState.QUEUED)
 
+    def note_refusal(self, now_s: float) -> None:
+        """Count a request to the service that was refused."""
+        self._results.add(now_s, is_refused=True)
+
     def withdraw(self, key: tuple[str, int]) -> None:
         """Take a request out of the line, as its caller left."""
         for request in self._line:
@@ -169,10 +174,7 @@
         if placed is None:
             return None
         self._crashes.observe(fingerprint, outcome, now_s)
-        if outcome is Outcome.SUCCESS:
-            self._results.add(1, 0, now_s)
-        elif outcome is not Outcome.CANCELLED:
-            self._results.add(0, 1, now_s)
+        self._results.add(now_s, is_refused=False)
         state = self._targets.get(placed.target)
         if state is None:
             return None
@@ -334,10 +336,11 @@
             and state.is_reachable(request.key[0], now_s)
             and state.has_room(now_s)
         ]
-        if self._results.unserved_share(now_s) > UNSERVED_SHARE_MAX:
-            idle = self._longest_idle(reachable, now_s)
-            if idle is not None:
-                return idle
+        if self._results.refused_share(now_s) > REFUSED_SHARE_MAX:
+            idle_s = IDLE_MAX_S if request.ask.is_repeatable else IDLE_MAX_UNSAFE_S
+            idle = [state for state in reachable if state.is_idle(idle_s, now_s)]
+            if idle:
+                return min(idle, key=lambda state: state.latest_start_s)
         limit = self._doubt_limit(request, now_s)
         best: tuple[float, TargetState] | None = None
         for state in reachable:
@@ -349,11 +352,6 @@
                 best = (cost, state)
         return None if best is None else best[1]
 
-    @staticmethod
-    def _longest_idle(states: list[TargetState], now_s: float) -> TargetState | None:
-        idle = [state for state in states if state.is_idle(IDLE_MAX_S, now_s)]
-        return min(idle, key=lambda state: state.latest_start_s, default=None)
-
     def _doubt_limit(self, request: WaitingRequest, now_s: float) -> float:
         """Return how doubtful a target may be, which rises over the time that is to spare."""
         latest_s = min(request.objective_s, request.deadline_s) - 2 * self.service_time_s
--- a/packages/core/src/tanagerreach_core/_placement_messages.py
+++ b/packages/core/src/tanagerreach_core/_placement_messages.py
@@ -38,8 +38,7 @@
     ``remaining_ms`` is the time until the request's deadline, ``objective_ms`` the time left
     within which an answer earns its full value. ``excluded`` are targets it was sent to before;
     ``is_repeat`` tells that it was sent to one. ``accepts_stale`` asks for a place also when the
-    home's list of targets may be out of date. ``refused_count`` is the number of requests to the
-    service that the instance refused by itself since its last question.
+    home's list of targets may be out of date.
     """
 
     ask_id: int
@@ -54,7 +53,6 @@
     fingerprint: bytes
     excluded: list[str] = msgspec.field(default_factory=list)
     accepts_stale: bool = False
-    refused_count: int = 0
 
 
 class PlacementReply(msgspec.Struct, kw_only=True, array_like=True, tag=21):
@@ -144,3 +142,9 @@
     service: str
     service_time_ms: int
     failing: dict[str, tuple[float, int]]
+
+
+class RefusalNotice(msgspec.Struct, kw_only=True, array_like=True, tag=28):
+    """Tells a service's home that a request was refused before a place was asked for."""
+
+    service: str
--- a/packages/core/src/tanagerreach_core/messages.py
+++ b/packages/core/src/tanagerreach_core/messages.py
@@ -35,6 +35,7 @@
     QuotaReply,
     Received,
     RefusalCause,
+    RefusalNotice,
 )
 from ._slots import SlotSet
 
@@ -61,6 +62,7 @@
     "QuotaReply",
     "Received",
     "RefusalCause",
+    "RefusalNotice",
     "ServiceReply",
     "ServiceReport",
     "SlotSet",
--- a/packages/core/tests/test_placement.py
+++ b/packages/core/tests/test_placement.py
@@ -205,7 +205,8 @@
         starts = {f"t{number}": [] for number in range(6)}
         for number in range(60):
             now_s = number * 0.1
-            key, reply = asker.ask(now_s, refused_count=1)
+            placement.note_refusal(now_s)
+            key, reply = asker.ask(now_s)
             failed = reply.target in ("t1", "t2") and now_s < 1.0
             outcome = Outcome.BROKEN_BEFORE_HEAD if failed else Outcome.SUCCESS
             placement.end(key, outcome, 0.05, b"", now_s + 0.05)
@@ -216,6 +217,20 @@
                 gaps = [b - a for a, b in zip([1.0, *late], [*late, 6.0], strict=True)]
                 self.assertLess(max(gaps), 2.0)
 
+    def test_failures_alone_send_nothing_to_failing_targets(self):
+        """Guards against tries at failing targets that bring on more failures."""
+        placement = made_placement(made_targets(6))
+        asker = Asker(placement)
+        failed = 0
+        for number in range(200):
+            now_s = number * 0.05
+            key, reply = asker.ask(now_s)
+            is_failing = reply.target in ("t1", "t2", "t3")
+            failed += is_failing
+            outcome = Outcome.BROKEN_BEFORE_HEAD if is_failing else Outcome.SUCCESS
+            placement.end(key, outcome, 0.05, b"", now_s + 0.04)
+        self.assertLess(failed, 20)
+
     def test_bad_path_is_avoided_by_its_instance_only(self):
         """Guards against a sound target that is lost to all since one instance cannot reach it."""
         placement = made_placement(made_targets(2))
--- a/packages/daemon/src/tanagerreachd/gateway/_application.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_application.py
@@ -86,8 +86,6 @@
         self._upstream = upstream
         self._watch = watch
         self._log = log
-        # Requests refused by their quota, by service, since the service's home was last asked.
-        self._refused_counts: dict[str, int] = {}
         self._id_key = environ_key(dialect.request_id)
         self._deadline_key = environ_key(dialect.deadline_ms)
         self._key_key = environ_key(dialect.key)
@@ -230,7 +228,7 @@
         reply = self._places.take_quota(request.workspace_name)
         if not reply.is_granted:
             name = request.service_name
-            self._refused_counts[name] = self._refused_counts.get(name, 0) + 1
+            self._places.tell_refusal(name)
             raise RefusalError(
                 status=HTTPStatus.TOO_MANY_REQUESTS,
                 kind="rate-exceeded",
@@ -265,13 +263,11 @@
                 return answer
 
     def _ask(self, request: GatewayRequest, ask_id: int, accepts_stale: bool) -> PlacementAsk:
-        refused_count = self._refused_counts.pop(request.service_name, 0)
         return request.ask(
             ask_id,
             self._own_data_centre,
             _clock.now_s(),
             accepts_stale=accepts_stale,
-            refused_count=refused_count,
         )
 
     def _check_place(self, request: GatewayRequest, place: Place) -> None:
--- a/packages/daemon/src/tanagerreachd/gateway/_instance.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_instance.py
@@ -19,6 +19,7 @@
     QuotaAsk,
     QuotaReply,
     Received,
+    RefusalNotice,
 )
 from tanagerreach_core.placement import Roster
 from tanagerreach_core.rights import service_thing
@@ -377,6 +378,8 @@
             self._link.send(address, self._homes.take_quota(name, message))
         elif isinstance(message, Received):
             self._calls.confirmed(message.ask_id)
+        elif isinstance(message, RefusalNotice):
+            self._homes.note_refusal(message.service)
         elif isinstance(message, BeliefDigest):
             self._homes.inherit(message)
         elif isinstance(message, QuotaReply):
--- a/packages/daemon/src/tanagerreachd/gateway/_peer_calls.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_peer_calls.py
@@ -22,10 +22,10 @@
     :param send: sends a message to an address.
     """
 
-    __slots__ = ("_ids", "_send", "_unconfirmed", "_waiting")
+    __slots__ = ("_ids", "_unconfirmed", "_waiting", "send")
 
     def __init__(self, *, send: Send) -> None:
-        self._send = send
+        self.send = send
         self._ids = itertools.count(1)
         self._waiting: dict[int, Queue] = {}
         self._unconfirmed: dict[int, tuple[str, Any]] = {}
@@ -51,7 +51,7 @@
         """
         timeout_s = REPLY_TIMEOUT_S
         for _ in range(SEND_COUNT):
-            self._send(address, message)
+            self.send(address, message)
             try:
                 return queue.get(timeout=timeout_s)
             except Empty:
@@ -72,7 +72,7 @@
     def send_until_confirmed(self, address: str, message: Any) -> None:
         """Send a message some times until the peer confirms it, without waiting."""
         self._unconfirmed[message.ask_id] = (address, message)
-        self._send(address, message)
+        self.send(address, message)
         gevent.spawn_later(END_RETRY_S, self._repeat, message.ask_id, 1)
 
     def confirmed(self, ask_id: int) -> None:
@@ -86,5 +86,5 @@
         if sent_count >= END_SEND_COUNT:
             del self._unconfirmed[ask_id]
             return
-        self._send(address, message)
+        self.send(address, message)
         gevent.spawn_later(END_RETRY_S * 2**sent_count, self._repeat, ask_id, sent_count + 1)
--- a/packages/daemon/src/tanagerreachd/gateway/_placement_client.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_placement_client.py
@@ -12,6 +12,7 @@
     PlacementState,
     QuotaAsk,
     QuotaReply,
+    RefusalNotice,
 )
 from tanagerreach_core.placement import Peer, Roster
 from tanagerreach_core.rights import service_thing, workspace_thing
@@ -120,6 +121,14 @@
         ask = QuotaAsk(ask_id=self._calls.next_id(), workspace=workspace)
         return self._homes.take_quota(self._own_name, ask, 1 / self._roster.size())
 
+    def tell_refusal(self, service: str) -> None:
+        """Tell a service's home that a request was refused before it was asked."""
+        homes = self._homes_of(service_thing(service))
+        if not homes or homes[0] is None:
+            self._homes.note_refusal(service)
+        else:
+            self._calls.send(homes[0].address, RefusalNotice(service=service))
+
     def discard(self, source: str, reply: PlacementReply) -> None:
         """Give back a place that came too late for its request."""
         if reply.state is not PlacementState.GRANTED:
--- a/packages/daemon/src/tanagerreachd/gateway/_request.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_request.py
@@ -101,7 +101,6 @@
         now_s: float,
         *,
         accepts_stale: bool,
-        refused_count: int,
     ) -> PlacementAsk:
         """Build the question for a place."""
         return PlacementAsk(
@@ -117,7 +116,6 @@
             fingerprint=self.crash_key,
             excluded=[entry.target for entry in self.tries],
             accepts_stale=accepts_stale,
-            refused_count=refused_count,
         )
 
     def note_try(self, target: str, outcome: Outcome) -> None:
