Put returning peers on probation, and let askers check the data centre

A peer that was silent is now no home for 1.5 s while there are others; instances that start together still agree at once. The asking instance also refuses a place in a data centre that it knows to be out.

--- a/packages/core/src/tanagerreach_core/_placement.py
+++ b/packages/core/src/tanagerreach_core/_placement.py
@@ -297,6 +297,7 @@
             state=PlacementState.GRANTED,
             target=state.spec.name,
             address=state.spec.address,
+            data_centre=state.spec.data_centre,
             patience_ms=int(MS_PER_S * patience_s),
             service=ask.service,
             doubt_percent=round(PERCENT * state.doubt(self.service_time_s, now_s)),
--- a/packages/core/src/tanagerreach_core/_placement_messages.py
+++ b/packages/core/src/tanagerreach_core/_placement_messages.py
@@ -76,6 +76,7 @@
     waiting_count: int = 0
     free_slot_count: int = 0
     list_age_ms: int = 0
+    data_centre: str = ""
 
 
 class PlacementEnd(msgspec.Struct, kw_only=True, array_like=True, tag=22):
--- a/packages/core/src/tanagerreach_core/_roster.py
+++ b/packages/core/src/tanagerreach_core/_roster.py
@@ -10,6 +10,9 @@
 
 SILENCE_HEARTBEATS = 3.2
 """A peer that was not heard for this many heartbeats is no home: two were lost, and some delay."""
+PROBATION_S = 1.5
+"""A peer that was silent before is no home for this long, while there are others: it may have been
+cut off from the store too, and has to catch up."""
 FORGET_S = 60.0
 """A peer that was not heard for this long counts no more as a part of the fleet."""
 SUSPICION_MIN_S = 1.5
@@ -26,6 +29,7 @@
     address: str
     data_centre: str = ""
     heard_s: float = float("-inf")
+    live_since_s: float = float("-inf")
     added_s: float = 0.0
     suspected_until_s: float = 0.0
     suspected_at_s: float = float("-inf")
@@ -41,11 +45,21 @@
 
     :param own_name: this instance's name.
     :param heartbeat_s: interval of the peers' heartbeats, which grows with the fleet.
+    :param now_s: time of this instance's start. Instances that start together are on probation
+        together, so that they agree on homes from the first moment.
     """
 
-    __slots__ = ("_own_name", "_peers", "heartbeat_s", "own_has_store", "own_is_home")
-
-    def __init__(self, *, own_name: str, heartbeat_s: float) -> None:
+    __slots__ = (
+        "_own_live_since_s",
+        "_own_name",
+        "_peers",
+        "heartbeat_s",
+        "own_has_store",
+        "own_is_home",
+    )
+
+    def __init__(self, *, own_name: str, heartbeat_s: float, now_s: float = float("-inf")) -> None:
+        self._own_live_since_s = now_s
         self._own_name = own_name
         self.heartbeat_s = heartbeat_s
         self._peers: dict[str, Peer] = {}
@@ -80,6 +94,8 @@
         self.learn(name, address, now_s)
         peer = self._peers[name]
         was_silent = not self.is_live(peer, now_s)
+        if was_silent:
+            peer.live_since_s = now_s
         peer.address = address
         peer.heard_s = now_s
         return peer, was_silent
@@ -112,16 +128,20 @@
     def homes(self, thing: bytes, now_s: float) -> list[Peer | None]:
         """Return the live instances by preference for a thing; ``None`` stands for this one.
 
-        Those that the store answers go before the others, which may not see what has changed.
+        Those that the store answers, and that have been heard for a while, go before the others,
+        which may not know what has changed.
         """
         ranked: list[tuple[bool, int, str, Peer | None]] = []
+        settled_s = now_s - PROBATION_S
         if self.own_is_home:
             own = self._own_name
-            ranked.append((self.own_has_store, _weight(thing, own), own, None))
+            is_current = self.own_has_store and self._own_live_since_s <= settled_s
+            ranked.append((is_current, _weight(thing, own), own, None))
         for peer in self._peers.values():
             can_serve = peer.is_serving and not peer.is_leaving
             if can_serve and self.is_live(peer, now_s) and now_s >= peer.suspected_until_s:
-                ranked.append((peer.has_store, _weight(thing, peer.name), peer.name, peer))
+                is_current = peer.has_store and peer.live_since_s <= settled_s
+                ranked.append((is_current, _weight(thing, peer.name), peer.name, peer))
         ranked.sort(key=lambda entry: entry[:3], reverse=True)
         return [entry[3] for entry in ranked]
 
--- a/packages/core/tests/test_roster.py
+++ b/packages/core/tests/test_roster.py
@@ -16,6 +16,7 @@
         if name != own:
             peer, _ = roster.heard(name, f"{name}:1", now_s)
             peer.is_serving = True
+            peer.live_since_s = -100.0
     return roster
 
 
@@ -67,6 +68,35 @@
         self.assertIsNot(homes[0], first)
         self.assertIs(homes[-1], first)
 
+    def test_instances_that_start_together_agree(self):
+        """Guards against as many homes as instances after the loss of all of them."""
+        homes = set()
+        for own in NAMES:
+            roster = Roster(own_name=own, heartbeat_s=0.8, now_s=0.0)
+            for name in NAMES:
+                if name != own:
+                    peer, _ = roster.heard(name, f"{name}:1", 0.3)
+                    peer.is_serving = True
+            homes.add(home_name(roster, own, b"s:a", 0.4))
+        self.assertEqual(len(homes), 1)
+
+    def test_returning_peer_is_on_probation(self):
+        """Guards against a home that was cut off and does not know yet what has changed.
+
+        Found in hunts on kranfind-sofia (EVAC) and lbn-reach (DRAIN).
+        """
+        roster = made_roster("i0", NAMES, 1.0)
+        roster.own_is_home = False
+        first = roster.homes(b"s:a", 1.1)[0]
+        for at_s in (8.0, 8.8, 9.6, 10.4):
+            for name in NAMES[1:]:
+                if name != first.name or at_s > 8.5:
+                    peer, _ = roster.heard(name, f"{name}:1", at_s)
+                    if name != first.name:
+                        peer.live_since_s = -100.0
+        self.assertIsNot(roster.homes(b"s:a", 9.7)[0], first)
+        self.assertIs(roster.homes(b"s:a", 10.5)[0], first)
+
     def test_peer_that_was_just_told_of_is_kept(self):
         """Guards against a member that is forgotten before its first heartbeat."""
         roster = Roster(own_name="i0", heartbeat_s=0.8)
--- a/packages/daemon/src/tanagerreachd/gateway/_application.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_application.py
@@ -252,9 +252,15 @@
                 raise self._no_place(request, place)
             try:
                 self._check_place(request, place)
+                is_allowed = self._resolver().is_in_service(place.reply.data_centre)
             except BaseException:
                 self._places.end(place, Outcome.CANCELLED, 0.0)
                 raise
+            if not is_allowed:
+                # The home does not know yet that the data centre was taken out.
+                self._places.end(place, Outcome.CANCELLED, 0.0)
+                request.barred_targets.append(place.reply.target)
+                continue
             if not request.match.idempotent:
                 # Breaking it off would leave open whether it ran; it is let finish.
                 end_watch()
--- a/packages/daemon/src/tanagerreachd/gateway/_instance.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_instance.py
@@ -112,7 +112,9 @@
         self._limits = DEFAULT_LIMITS
         self._loops = Loops(on_failure=log.failure)
         self._metrics = Metrics()
-        self._roster = Roster(own_name=settings.instance_name, heartbeat_s=HEARTBEAT_S)
+        self._roster = Roster(
+            own_name=settings.instance_name, heartbeat_s=HEARTBEAT_S, now_s=self._started_s
+        )
         self._roster.own_is_home = False
         self._build_peers()
         self._build_store()
--- a/packages/daemon/src/tanagerreachd/gateway/_request.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_request.py
@@ -26,6 +26,7 @@
     :param caller_deadline_s: time until which the caller waits.
     :param answer_by_s: time by which it has to be answered, also by the route's limit.
     :param objective_s: time by which an answer has its full value.
+    :param barred_targets: targets that a home offered and that it must not be sent to.
     """
 
     environ: dict[str, Any]
@@ -39,6 +40,7 @@
     answer_by_s: float
     objective_s: float
     tries: list[Try] = field(default_factory=list)
+    barred_targets: list[str] = field(default_factory=list)
     crash_key: bytes = b""
 
     @property
@@ -114,7 +116,7 @@
             is_repeat=self.sent_count > 0,
             data_centre=data_centre,
             fingerprint=self.crash_key,
-            excluded=[entry.target for entry in self.tries],
+            excluded=[entry.target for entry in self.tries] + self.barred_targets,
             accepts_stale=accepts_stale,
         )
 
