Count only askers of a quota while another home may exist

It now holds only while an instance that goes before was heard within 6 s, and up to 2/s are issued all the same.

--- a/packages/core/src/tanagerreach_core/_roster.py
+++ b/packages/core/src/tanagerreach_core/_roster.py
@@ -13,6 +13,8 @@
 PROBATION_S = 1.5
 """A peer that was silent before is no home for this long, while there are others: it may have been
 cut off from the store too, and has to catch up."""
+RIVAL_S = 6.0
+"""A peer that was heard within this time may still be asked by others as a home."""
 FORGET_S = 60.0
 """A peer that was not heard for this long counts no more as a part of the fleet."""
 SUSPICION_MIN_S = 1.5
@@ -145,6 +147,16 @@
         ranked.sort(key=lambda entry: entry[:3], reverse=True)
         return [entry[3] for entry in ranked]
 
+    def has_rival(self, thing: bytes, now_s: float) -> bool:
+        """Tell whether an instance that goes before this one may be a thing's home at present."""
+        own = _weight(thing, self._own_name)
+        return any(
+            not peer.is_leaving
+            and now_s - peer.heard_s <= RIVAL_S
+            and _weight(thing, peer.name) > own
+            for peer in self._peers.values()
+        )
+
     def fleet_share(self, now_s: float) -> float:
         """Return the part of the known fleet that is heard, this instance included."""
         live = sum(1 for peer in self._peers.values() if self.is_live(peer, now_s))
--- a/packages/core/src/tanagerreach_core/_workspace_quota.py
+++ b/packages/core/src/tanagerreach_core/_workspace_quota.py
@@ -2,40 +2,39 @@
 
 Load pattern: one workspace sends many times its rate through all instances. A home refills its
 buckets by the share of the fleet that it hears, so that two homes on the two sides of a partition
-issue no more than the rate together. Until the silence of the other side shows, a home that has
-just taken over counts only the instances that ask it.
+issue no more than the rate together. While another instance that was heard a moment ago would be
+the home, this one counts only the instances that ask it.
 """
 
 from ._rate import WorkspaceLimit
 
 # A home that has just taken over does not know what the former home issued.
 FIRST_LEVEL_SHARE = 0.5
-FIRST_LEVEL_MAX = 15.0
-TAKE_OVER_S = 6.0
-"""Time after which the former home's silence, and what it issued, no longer matter: longer than the
-silence after which an instance is taken for dead, and than the window that a quota is judged by."""
+FIRST_LEVEL_MAX = 10.0
+ASKER_MEMORY_S = 6.0
+DISPUTED_RATE_MIN_PER_S = 2.0
+"""Rate up to which a home in doubt issues all the same: a workspace with a low rate is asked for by
+few instances, and in the time of doubt this stays below what the platform tolerates (20)."""
 
 
 class _Bucket:
-    __slots__ = ("askers", "is_first", "level", "limit", "taken_over_s", "updated_s")
+    __slots__ = ("askers", "is_disputed", "level", "limit", "updated_s")
 
     def __init__(self, limit: WorkspaceLimit, now_s: float) -> None:
         self.limit = limit
         self.updated_s = now_s
-        self.is_first = False
-        self.level = 0.0
-        self.taken_over_s = now_s
-        self.askers: dict[str, float] = {}
-        self.take_over(now_s)
+        self.is_disputed = False
         self.level = min(FIRST_LEVEL_MAX, FIRST_LEVEL_SHARE * limit.burst)
+        self.askers: dict[str, float] = {}
 
-    def take_over(self, now_s: float) -> None:
-        self.taken_over_s = now_s
-        self.level = min(self.level, FIRST_LEVEL_MAX, FIRST_LEVEL_SHARE * self.limit.burst)
+    def note_dispute(self, is_disputed: bool) -> None:
+        if is_disputed and not self.is_disputed:
+            self.level = min(self.level, FIRST_LEVEL_MAX, FIRST_LEVEL_SHARE * self.limit.burst)
+        self.is_disputed = is_disputed
 
-    def heard_share(self, asker: str, fleet_size: int, now_s: float) -> float:
+    def asker_share(self, asker: str, fleet_size: int, now_s: float) -> float:
         self.askers[asker] = now_s
-        silent = [name for name, at_s in self.askers.items() if now_s - at_s > TAKE_OVER_S]
+        silent = [name for name, at_s in self.askers.items() if now_s - at_s > ASKER_MEMORY_S]
         for name in silent:
             del self.askers[name]
         return len(self.askers) / max(1, fleet_size)
@@ -58,7 +57,7 @@
         asker: str,
         fleet_share: float,
         fleet_size: int,
-        is_first: bool,
+        is_disputed: bool,
     ) -> float:
         """Take one request from a workspace's quota.
 
@@ -66,19 +65,19 @@
         :param asker: the instance that asks.
         :param fleet_share: part of the fleet that this home hears, from 0 to 1.
         :param fleet_size: instances that are known.
-        :param is_first: whether this home comes first for the workspace, as far as it knows.
+        :param is_disputed: whether another instance may be the home at the same time.
         :returns: 0 when it is granted, otherwise the time until a token will be there.
         """
         bucket = self._buckets.get(workspace)
         if bucket is None:
             bucket = self._buckets[workspace] = _Bucket(limit, now_s)
-        elif is_first and not bucket.is_first:
-            bucket.take_over(now_s)
-        bucket.is_first = is_first
-        heard_share = bucket.heard_share(asker, fleet_size, now_s)
-        if not is_first or now_s - bucket.taken_over_s < TAKE_OVER_S:
-            fleet_share = min(fleet_share, heard_share)
+        bucket.note_dispute(is_disputed)
+        asker_share = bucket.asker_share(asker, fleet_size, now_s)
         rate_per_s = limit.rate_per_s * fleet_share
+        if is_disputed:
+            fleet_share = min(fleet_share, asker_share)
+            least_per_s = min(rate_per_s, DISPUTED_RATE_MIN_PER_S)
+            rate_per_s = max(least_per_s, limit.rate_per_s * fleet_share)
         grown = max(0.0, now_s - bucket.updated_s) * min(rate_per_s, bucket.limit.rate_per_s)
         room = max(1.0, limit.burst * fleet_share, min(bucket.level, limit.burst))
         bucket.level = min(room, bucket.level + grown)
--- a/packages/core/tests/test_roster.py
+++ b/packages/core/tests/test_roster.py
@@ -111,7 +111,6 @@
     LIMIT = WorkspaceLimit(rate_per_s=40.0, burst=40.0)
 
     def issue(self, quota, roster, asker, now_s):
-        homes = roster.homes(b"w:w", now_s)
         return (
             quota.take(
                 "w",
@@ -120,7 +119,7 @@
                 asker=asker,
                 fleet_share=roster.fleet_share(now_s),
                 fleet_size=roster.size(),
-                is_first=homes[0] is None,
+                is_disputed=roster.has_rival(b"w:w", now_s),
             )
             == 0
         )
@@ -164,6 +163,24 @@
                 with self.subTest(size=size, start_s=start / 4):
                     self.assertLessEqual(count, allowed)
 
+    def test_small_workspace_is_served_while_its_home_moves(self):
+        """Guards against refusals of requests within a low rate, which few instances ask for."""
+        quota = WorkspaceQuota()
+        limit = WorkspaceLimit(rate_per_s=2.0, burst=4.0)
+        granted = [
+            quota.take(
+                "w",
+                limit,
+                number * 0.7,
+                asker=f"i{number % 2}",
+                fleet_share=1.0,
+                fleet_size=32,
+                is_disputed=True,
+            )
+            for number in range(12)
+        ]
+        self.assertEqual(granted, [0.0] * 12)
+
     def test_calm_fleet_gets_the_whole_rate(self):
         """Guards against refusals of requests within the rate, also at the start."""
         quota = WorkspaceQuota()
--- a/packages/daemon/src/tanagerreachd/gateway/_home_server.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_home_server.py
@@ -140,7 +140,6 @@
         if limit is None:
             return QuotaReply(ask_id=ask.ask_id, is_granted=True)
         now_s = _clock.now_s()
-        homes = self._roster.homes(workspace_thing(ask.workspace), now_s)
         if fleet_share is None:
             fleet_share = self._roster.fleet_share(now_s)
         wait_s = self._quota.take(
@@ -150,7 +149,7 @@
             asker=asker,
             fleet_share=fleet_share,
             fleet_size=self._roster.size(),
-            is_first=not homes or homes[0] is None,
+            is_disputed=self._roster.has_rival(workspace_thing(ask.workspace), now_s),
         )
         return QuotaReply(
             ask_id=ask.ask_id,
