--- a/packages/daemon/src/tanagerreachd/gateway/_home_server.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_home_server.py
@@ -129,6 +129,12 @@
             )
         self._step(message.service, service, now_s)
 
+    def note_refusal(self, name: str) -> None:
+        """Note that an instance refused a request to a service by itself."""
+        service = self._services.get(name)
+        if service is not None:
+            service.note_refusal(_clock.now_s())
+
     def take_quota(self, asker: str, ask: QuotaAsk, fleet_share: float | None = None) -> QuotaReply:
         """Answer a question for one request of a workspace's quota.
 
