Pass the counts of repeats on to the next home, and share them over a divided fleet

A home's digest now carries the counts of its window, and the allowance follows the part of the fleet that the home hears, as quotas do.

Replay of a home that moves each second while all targets fail: before, 61 repeats more than allowed in the test (fails); after, within the bound.

--- a/packages/core/src/tanagerreach_core/_placement.py
+++ b/packages/core/src/tanagerreach_core/_placement.py
@@ -226,6 +226,7 @@
             failing={
                 name: (-negative, age_ms) for negative, age_ms, name in beliefs[:DIGEST_TARGETS_MAX]
             },
+            repeats=self._repeats.counts(now_s),
         )
 
     def adopt(self, digest: BeliefDigest, now_s: float) -> None:
@@ -235,6 +236,7 @@
             if state is not None:
                 state.belief.adopt(failing, age_ms / MS_PER_S, now_s)
         self._doubts.clear()
+        self._repeats.adopt(digest.repeats, now_s)
         if not self._placed:
             self._latency.adopt(digest.service_time_ms / MS_PER_S)
 
--- a/packages/core/src/tanagerreach_core/_placement_messages.py
+++ b/packages/core/src/tanagerreach_core/_placement_messages.py
@@ -137,12 +137,14 @@
     """Tells the instance that would take over a service what its home believes of the targets.
 
     ``failing`` has, by target, the probability that it fails requests now, and the milliseconds
-    since its latest outcome.
+    since its latest outcome. ``repeats`` has the counts of the service's budget of repeats: age of
+    the bucket, first tries, repeats.
     """
 
     service: str
     service_time_ms: int
     failing: dict[str, tuple[float, int]]
+    repeats: list[tuple[int, int, int]] = msgspec.field(default_factory=list)
 
 
 class RefusalNotice(msgspec.Struct, kw_only=True, array_like=True, tag=28):
--- a/packages/core/src/tanagerreach_core/_repeat_budget.py
+++ b/packages/core/src/tanagerreach_core/_repeat_budget.py
@@ -1,15 +1,21 @@
 """Fleet-wide budget of repeated requests to one service, kept by the service's home.
 
 Load pattern: many targets fail at once and every caller's request wants a second try, which would
-multiply the load on the targets that are left.
+multiply the load on the targets that are left. Meanwhile the home moves, or the fleet is divided
+and has a home on each side: a home takes over the former one's counts, and uses the part of the
+allowance that corresponds to the part of the fleet that it hears.
 """
 
 from collections import deque
+from collections.abc import Callable
 
 BUCKETS_PER_WINDOW = 10
 FIRST_ALLOWANCE_SHARE = 0.3
-"""Part of the allowance that a new home uses at first, as it does not know what the former home
-has allowed in the same window."""
+"""Part of the allowance that a new home uses at first, unless it knows what the former home has
+allowed in the same window."""
+
+RepeatCounts = list[tuple[int, int, int]]
+"""Age in buckets, first tries and repeats, for each bucket of the window."""
 
 
 class RepeatBudget:
@@ -17,17 +23,34 @@
 
     :param ratio: repeats allowed for each first try.
     :param allowance: repeats allowed besides, in each window.
+    :param fleet_share: returns the part of the fleet that is heard at a time, from 0 to 1.
     """
 
-    __slots__ = ("_allowance", "_bucket_s", "_buckets", "_ratio", "_started_s", "_window_s")
+    __slots__ = (
+        "_allowance",
+        "_bucket_s",
+        "_buckets",
+        "_fleet_share",
+        "_ratio",
+        "_started_s",
+        "_window_s",
+    )
 
-    def __init__(self, *, ratio: float, allowance: float, window_s: float) -> None:
+    def __init__(
+        self,
+        *,
+        ratio: float,
+        allowance: float,
+        window_s: float,
+        fleet_share: Callable[[float], float] = lambda now_s: 1.0,
+    ) -> None:
         self._ratio = ratio
         self._allowance = allowance
         self._window_s = window_s
+        self._fleet_share = fleet_share
         self._started_s: float | None = None
         self._bucket_s = window_s / BUCKETS_PER_WINDOW
-        # Number of the bucket, first tries, repeats.
+        # First tries and repeats by the number of the bucket.
         self._buckets: deque[list[int]] = deque(maxlen=BUCKETS_PER_WINDOW + 1)
 
     def note_first(self, now_s: float) -> None:
@@ -40,21 +63,42 @@
 
     def allows(self, now_s: float) -> bool:
         """Tell whether one more repeat fits in the window."""
-        current = self._bucket(now_s)[0]
-        live = [entry for entry in self._buckets if current - entry[0] <= BUCKETS_PER_WINDOW]
-        firsts = sum(entry[1] for entry in live)
-        repeats = sum(entry[2] for entry in live)
+        counts = self.counts(now_s)
+        firsts = sum(entry[1] for entry in counts)
+        repeats = sum(entry[2] for entry in counts)
         return repeats + 1 <= self._ratio * firsts + self._allowance_now(now_s)
 
+    def counts(self, now_s: float) -> RepeatCounts:
+        """Return the counts of the window, for the home that may take over."""
+        current = self._bucket(now_s)[0]
+        return [
+            (current - number, firsts, repeats)
+            for number, firsts, repeats in self._buckets
+            if current - number <= BUCKETS_PER_WINDOW
+        ]
+
+    def adopt(self, counts: RepeatCounts, now_s: float) -> None:
+        """Take over the counts of the former home, or of one that still answers beside this."""
+        if not counts:
+            return
+        current = self._bucket(now_s)[0]
+        known = {entry[0]: entry for entry in self._buckets}
+        for age, firsts, repeats in counts:
+            entry = known.setdefault(current - age, [current - age, 0, 0])
+            entry[1:] = max(entry[1], firsts), max(entry[2], repeats)
+        self._buckets.clear()
+        self._buckets.extend(known[number] for number in sorted(known))
+        self._started_s = min(self._started_s, now_s - self._window_s)
+
     def _allowance_now(self, now_s: float) -> float:
         age = 0.0 if self._started_s is None else (now_s - self._started_s) / self._window_s
         share = FIRST_ALLOWANCE_SHARE + (1 - FIRST_ALLOWANCE_SHARE) * age
-        return self._allowance * min(1.0, share)
+        return self._allowance * min(1.0, share) * self._fleet_share(now_s)
 
     def _bucket(self, now_s: float) -> list[int]:
         if self._started_s is None:
             self._started_s = now_s
         number = int(now_s / self._bucket_s)
-        if not self._buckets or self._buckets[-1][0] != number:
+        if not self._buckets or self._buckets[-1][0] < number:
             self._buckets.append([number, 0, 0])
         return self._buckets[-1]
--- a/packages/core/tests/test_placement.py
+++ b/packages/core/tests/test_placement.py
@@ -444,6 +444,44 @@
         self.assertGreater(repeats, 10)
         self.assertLessEqual(repeats, 0.2 * 200 + 5)
 
+    def test_repeats_stay_within_the_budget_while_homes_move(self):
+        """Guards against two homes that each allow repeats for the same window.
+
+        Load pattern: all targets fail while the home moves each second, as instances restart.
+        """
+        allowance, length_s = 50.0, 10.0
+        repeats = 0
+        digest = None
+        for step in range(int(length_s)):
+            home = made_placement(made_targets(6), allowance=allowance)
+            if digest is not None:
+                home.adopt(digest, step)
+            asker = Asker(home)
+            for number in range(20):
+                now_s = step + number / 20.0
+                for is_repeat in (False, True, True):
+                    key, reply = asker.ask(now_s, is_repeat=is_repeat, is_repeatable=True)
+                    if reply.state is PlacementState.GRANTED:
+                        repeats += is_repeat
+                        home.end(key, Outcome.BROKEN_BEFORE_HEAD, 0.005, b"", now_s)
+            digest = home.digest("s", now_s)
+        self.assertGreater(repeats, allowance)
+        self.assertLessEqual(repeats, 0.2 * 20 * length_s + allowance)
+
+    def test_divided_fleet_shares_the_budget_of_repeats(self):
+        """Guards against instances that are cut off and each allow the whole fleet's repeats."""
+        budgets = [
+            RepeatBudget(ratio=0.2, allowance=56.0, window_s=10.0, fleet_share=lambda _: 1 / 16)
+            for _ in range(16)
+        ]
+        repeats = 0
+        for budget in budgets:
+            for number in range(200):
+                if budget.allows(number * 0.05):
+                    budget.note_repeat(number * 0.05)
+                    repeats += 1
+        self.assertLessEqual(repeats, 56)
+
     def test_crash_request_is_refused(self):
         """Guards against a request that ends one target after the other."""
         placement = made_placement(made_targets(8))
--- a/packages/daemon/src/tanagerreachd/gateway/_home_server.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_home_server.py
@@ -241,6 +241,7 @@
                 ratio=self._repeats.ratio,
                 allowance=self._repeats.allowance,
                 window_s=self._repeats.window_s,
+                fleet_share=self._roster.fleet_share,
             )
         )
         self._waiting[name] = {}
