--- a/packages/core/src/tanagerreach_core/_placement.py
+++ b/packages/core/src/tanagerreach_core/_placement.py
@@ -57,6 +57,7 @@
     """Targets and waiting requests of one service at its home.
 
     :param repeats: the service's budget of repeated requests.
+    :param floor_share: part of the targets to have in use while requests are not served, 0 to 1.
     """
 
     __slots__ = (
@@ -64,6 +65,7 @@
         "_doubts",
         "_doubts_at_s",
         "_finished",
+        "_floor_share",
         "_latency",
         "_line",
         "_placed",
@@ -75,8 +77,9 @@
         "_undelivered",
     )
 
-    def __init__(self, *, repeats: RepeatBudget) -> None:
+    def __init__(self, *, repeats: RepeatBudget, floor_share: float) -> None:
         self._repeats = repeats
+        self._floor_share = floor_share
         self._crashes = CrashStreaks()
         self._line = WaitingLine()
         self._targets: dict[str, TargetState] = {}
@@ -373,6 +376,7 @@
                 self._targets.values(),
                 reachable,
                 doubt=lambda state: self._doubt(state, now_s),
+                floor_share=self._floor_share,
                 is_repeatable=request.ask.is_repeatable,
                 now_s=now_s,
             )
--- a/packages/core/src/tanagerreach_core/_target_use.py
+++ b/packages/core/src/tanagerreach_core/_target_use.py
@@ -15,8 +15,8 @@
 UNSERVED_SHARE_MAX = 0.08
 """Above this part of requests that are not served, targets must not stay idle; the platform allows
 a tenth."""
-FLOOR_SHARE = 0.75
-"""Part of the targets to have in use; the platform's floor of 0.7 with a margin."""
+FLOOR_MARGIN = 0.05
+"""Added to the floor, since others may count the targets at slightly other times."""
 SOUND_DOUBT_MAX = 0.3
 SOUND_IDLE_S = 1.0
 IN_USE_S = 1.3
@@ -32,6 +32,7 @@
     reachable: list[TargetState],
     *,
     doubt: Callable[[TargetState], float],
+    floor_share: float,
     is_repeatable: bool,
     now_s: float,
 ) -> TargetState | None:
@@ -40,6 +41,7 @@
     :param targets: all targets of the service.
     :param reachable: those that have room for the request.
     :param doubt: returns how likely a target fails a request now, from 0 to 1.
+    :param floor_share: part of the targets that has to be in use, from 0 to 1.
     :returns: ``None`` when enough targets are in use.
     """
     sound = [
@@ -52,7 +54,7 @@
     usable = [state for state in targets if now_s - state.failed_s > FAILED_PAUSE_S]
     in_use_s = IN_USE_S if is_repeatable else IN_USE_UNSAFE_S
     used_count = sum(now_s - state.latest_start_s <= in_use_s for state in usable)
-    if used_count >= math.ceil(FLOOR_SHARE * len(usable)):
+    if used_count >= math.ceil((floor_share + FLOOR_MARGIN) * len(usable)):
         return None
     idle = [
         state
--- a/packages/core/tests/test_placement.py
+++ b/packages/core/tests/test_placement.py
@@ -26,7 +26,7 @@
 
 def made_placement(targets, allowance=50.0):
     placement = ServicePlacement(
-        repeats=RepeatBudget(ratio=0.2, allowance=allowance, window_s=10.0)
+        repeats=RepeatBudget(ratio=0.2, allowance=allowance, window_s=10.0), floor_share=0.7
     )
     placement.configure(targets, 0.0)
     return placement
@@ -238,8 +238,8 @@
     def test_refusals_send_few_requests_to_failing_targets(self):
         """Guards against requests that are lost at failing targets as others were refused.
 
-        Load pattern: a workspace beyond its quota while 4 of 14 targets fail. The floor needs one
-        target more in use than are sound, and a target that failed counts again after 2 s.
+        Load pattern: a workspace beyond its quota while 4 of 14 targets fail. The floor needs no
+        target in use beyond the sound ones, one more is its margin; a target that failed counts again after 2 s.
         """
         placement = made_placement(made_targets(14))
         asker = Asker(placement)
--- a/packages/daemon/src/tanagerreachd/gateway/_home_server.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_home_server.py
@@ -62,6 +62,7 @@
     :param need_targets: called when targets are needed.
     :param is_current: whether the directory can be relied on.
     :param list_age_ms: age of the directory, for logs.
+    :param floor_share: part of a service's targets to have in use, from 0 to 1.
     """
 
     def __init__(
@@ -74,6 +75,7 @@
         is_current: Callable[[], bool],
         list_age_ms: Callable[[], int],
         repeats: RepeatAllowance,
+        floor_share: float,
         heartbeat_s: float,
         log: InstanceLog,
     ) -> None:
@@ -83,6 +85,7 @@
         self._need_targets = need_targets
         self._is_current = is_current
         self._repeats = repeats
+        self._floor_share = floor_share
         self._heartbeat_s = heartbeat_s
         self._log = log
         self._services: dict[str, ServicePlacement] = {}
@@ -242,7 +245,8 @@
                 allowance=self._repeats.allowance,
                 window_s=self._repeats.window_s,
                 fleet_share=self._roster.fleet_share,
-            )
+            ),
+            floor_share=self._floor_share,
         )
         self._waiting[name] = {}
         service.configure(self._targets(name, now_s), now_s)
--- a/packages/daemon/src/tanagerreachd/gateway/_instance.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_instance.py
@@ -178,6 +178,7 @@
             is_current=lambda: self._targets.is_current,
             list_age_ms=lambda: self._targets.age_ms,
             repeats=self._settings.repeats,
+            floor_share=self._settings.floor_share,
             heartbeat_s=self._settings.target_heartbeat_s,
             log=self._log,
         )
--- a/packages/daemon/src/tanagerreachd/gateway/_settings.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_settings.py
@@ -13,6 +13,7 @@
     :param peer_udp_port: port of the datagrams between instances, the same on all machines.
     :param peer_http_port: port of the state server, the same on all machines.
     :param peer_seed_hosts: hosts of some instances, which may be down.
+    :param floor_share: part of a service's targets to have in use while requests are not served.
     :param stop_limit_s: time from SIGTERM until the process is killed.
     """
 
@@ -28,5 +29,6 @@
     fleet_secret: str
     repeats: RepeatAllowance
     target_heartbeat_s: float
+    floor_share: float
     stop_limit_s: float
     log_level: str = "info"
--- a/packages/daemon/tests/test_gateway_homes.py
+++ b/packages/daemon/tests/test_gateway_homes.py
@@ -74,6 +74,7 @@
             is_current=lambda: self.is_current,
             list_age_ms=lambda: 0,
             repeats=RepeatAllowance(ratio=0.2, allowance=10.0, window_s=10.0),
+            floor_share=0.7,
             heartbeat_s=1.5,
             log=SilentLog(),
         )
