--- a/packages/core/src/tanagerreach_core/_target_use.py
+++ b/packages/core/src/tanagerreach_core/_target_use.py
@@ -23,8 +23,9 @@
 """A target that got a request within this time is in use; the platform looks at spans of 2 s."""
 IN_USE_UNSAFE_S = 1.6
 """The same for requests that must not be repeated, so that others take the risk first."""
-FAILED_PAUSE_S = 2.0
-"""A target that failed this short a time ago does not count as one that could be used."""
+FAILED_PAUSE_S = 3.5
+"""A target that failed this short a time ago does not count as one that could be used. The platform
+takes it for sound 2 s after it has recovered, and then looks at a span of 2 s."""
 
 
 def idle_target(
