Find routes in one function for both request paths

_find_route stood word for word in _proxy and in the gateway's application. No behaviour changes; test_proxy and test_gateway_homes pass.

--- a/packages/daemon/src/tanagerreachd/_proxy.py
+++ b/packages/daemon/src/tanagerreachd/_proxy.py
@@ -1,13 +1,11 @@
 """The path of a caller's request: checks, admission, tries at targets, answer or refusal."""
 
-import random
 import secrets
 from collections.abc import Callable, Iterable
 from http import HTTPStatus
 from typing import Any
 from urllib.parse import unquote
 
-from result import Err
 from tanagerreach_core.config import Freshness, Resolver, RouteMatch, Workspace
 from tanagerreach_core.traffic import CrashRequestRegistry, Outcome, executed
 from tanagerreach_core.traffic import Executed as TryExecuted
@@ -16,10 +14,11 @@
 from ._caller_watch import CallerGoneError, CallerWatch
 from ._claim_coordinator import Claim, ClaimCoordinator, ClaimOutcome, claim_key
 from ._proxy_metrics import ProxyMetrics
-from ._proxy_refusals import caller_gone, key_in_target, route_refusal, starting
+from ._proxy_refusals import caller_gone, key_in_target, starting
 from ._refusals import Executed, RefusalError
 from ._request_context import RequestContext, time_limit_s
 from ._request_headers import bearer_key, response_headers
+from ._route_lookup import find_route
 from ._service_dispatcher import ServiceDispatcher
 from ._streamed_answer import StreamedAnswer
 from ._target_tries import TargetTries, answer_outcome
@@ -175,7 +174,7 @@
         if not self._freshness.booted(now_s):
             # Without the routes of the fleet, any path would look unknown.
             raise starting()
-        match = self._find_route(resolver, environ)
+        match = find_route(resolver, environ)
         key_text = bearer_key(environ)
         workspace = None
         if not match.route.open:
@@ -203,16 +202,6 @@
             key_text=key_text,
         )
 
-    @staticmethod
-    def _find_route(resolver: Resolver, environ: dict[str, Any]) -> RouteMatch:
-        raw_path = environ["tanagerreach.raw_target"].partition("?")[0]
-        found = resolver.find_route(
-            environ.get("HTTP_HOST", ""), environ["REQUEST_METHOD"], raw_path, random.random()
-        )
-        if isinstance(found, Err):
-            raise route_refusal(found.err_value)
-        return found.ok_value
-
     def _check_freshness(self, now_s: float) -> None:
         if self._freshness.may_serve_keyed(now_s):
             return
--- a/packages/daemon/src/tanagerreachd/gateway/_application.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_application.py
@@ -1,13 +1,11 @@
 """The path of a caller's request at a gateway: checks, quota, places at targets, answer."""
 
-import random
 import secrets
 from collections.abc import Callable, Iterable
 from functools import partial
 from http import HTTPStatus
 from typing import Any
 
-from result import Err
 from tanagerreach_core.config import Resolver, RouteMatch, Workspace
 from tanagerreach_core.messages import PlacementAsk, RefusalCause
 from tanagerreach_core.placement import may_run_again
@@ -17,8 +15,9 @@
 from .._caller_body import CallerBody, CallerBodyError, body_refusal
 from .._caller_watch import CallerGoneError, CallerWatch
 from .._http_head import environ_key
-from .._proxy_refusals import route_refusal, starting
+from .._proxy_refusals import starting
 from .._refusals import Executed, RefusalError
+from .._route_lookup import find_route
 from .._streamed_answer import StreamedAnswer
 from .._upstream import BODILESS_STATUSES, UpstreamAnswer, UpstreamClient, UpstreamRequest
 from .._upstream_errors import (
@@ -118,7 +117,7 @@
         resolver = self._resolver()
         if resolver is None:
             raise starting()
-        match = self._find_route(resolver, environ)
+        match = find_route(resolver, environ)
         key_text = environ.get(self._key_key)
         workspace = self._find_workspace(resolver, match, key_text)
         if match.service is None:
@@ -154,16 +153,6 @@
             objective_s=objective_s,
         )
 
-    @staticmethod
-    def _find_route(resolver: Resolver, environ: dict[str, Any]) -> RouteMatch:
-        raw_path = environ["tanagerreach.raw_target"].partition("?")[0]
-        found = resolver.find_route(
-            environ.get("HTTP_HOST", ""), environ["REQUEST_METHOD"], raw_path, random.random()
-        )
-        if isinstance(found, Err):
-            raise route_refusal(found.err_value)
-        return found.ok_value
-
     @staticmethod
     def _find_workspace(
         resolver: Resolver, match: RouteMatch, key_text: str | None
@@ -187,7 +176,7 @@
         resolver = self._resolver()
         if resolver.revision == request.environ["tanagerreach.revision"]:
             return
-        match = self._find_route(resolver, request.environ)
+        match = find_route(resolver, request.environ)
         workspace = self._find_workspace(resolver, match, request.key_text)
         allowed = set(match.route.split) or {match.route.service}
         if request.service_name not in allowed:
