Ignore a mean latency of 0 ms in a home's digest

Found by reading: a service that answers within 1 ms has a mean that is rounded to 0 in the digest; its heir would divide by it at the next digest. The test fails with ZeroDivisionError without the guard.

--- a/packages/core/src/tanagerreach_core/_service_latency.py
+++ b/packages/core/src/tanagerreach_core/_service_latency.py
@@ -39,6 +39,8 @@
             self._high_s = max(self.mean_s, self._high_s - step_s * (1 - HIGH_QUANTILE))
 
     def adopt(self, mean_s: float) -> None:
-        """Start from the mean that another home has seen."""
+        """Start from the mean that another home has seen; 0 says nothing."""
+        if mean_s <= 0:
+            return
         self._high_s *= mean_s / self.mean_s
         self.mean_s = mean_s
--- a/packages/core/tests/test_placement.py
+++ b/packages/core/tests/test_placement.py
@@ -414,6 +414,20 @@
         chosen = {other.ask(1.2)[1].target for _ in range(4 * (4 - len(doubtful)))}
         self.assertEqual(chosen & doubtful, set())
 
+    def test_digest_of_a_fast_service_is_taken_over(self):
+        """Guards against a mean latency that is rounded to 0 ms in the digest."""
+        former = made_placement(made_targets(1))
+        asker = Asker(former)
+        for number in range(200):
+            key, _ = asker.ask(0.01 * number)
+            former.end(key, Outcome.SUCCESS, 0.0002, b"", 0.01 * number)
+        digest = former.digest("s", 2.0)
+        self.assertEqual(digest.service_time_ms, 0)
+        heir = made_placement(made_targets(1))
+        heir.adopt(digest, 2.0)
+        heir.adopt(digest, 2.1)
+        self.assertGreater(heir.service_time_s, 0.0)
+
     def test_own_news_are_kept(self):
         """Guards against an older belief that replaces what was just seen."""
         placement = made_placement(made_targets(1))
