Break off no answer while an instance stops

Ruled out: the deadline (2.5 s) and the end of the grace time (0.6 s after SIGTERM). An instance that stops now waits for its targets until the requests' deadlines, also for requests that are under way. The test fails without it.

--- a/packages/daemon/src/tanagerreachd/_upstream.py
+++ b/packages/daemon/src/tanagerreachd/_upstream.py
@@ -224,6 +224,17 @@
         self._connect_timeout_s = connect_timeout_s
         self._idle_timeout_s = idle_timeout_s
         self._pools: dict[str, TargetPool] = {}
+        self._head_timers: set[gevent.Timeout] = set()
+        self._has_head_limits = True
+
+    def lift_head_limits(self) -> None:
+        """Break off no answer before its request's deadline from now on.
+
+        An instance that stops may not find another place for a request that it breaks off.
+        """
+        self._has_head_limits = False
+        for timer in self._head_timers:
+            timer.close()
 
     def send(
         self,
@@ -243,8 +254,11 @@
         :raises HeadLimitError: when the answer's head is not here within ``head_limit_s``.
         :raises UpstreamError: when there is no usable answer.
         """
-        head_timer = gevent.Timeout(head_limit_s, _HeadLimitReached)
+        head_timer = gevent.Timeout(
+            head_limit_s if self._has_head_limits else None, _HeadLimitReached
+        )
         head_timer.start()
+        self._head_timers.add(head_timer)
         timer = gevent.Timeout(max(time_limit_s, 0.0), _DeadlineReached)
         if request.is_limited_from_start:
             timer.start()
@@ -274,6 +288,7 @@
                 raise _broken(target, error) from error
             raise
         finally:
+            self._head_timers.discard(head_timer)
             head_timer.close()
             timer.close()
 
--- a/packages/daemon/src/tanagerreachd/gateway/_instance.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_instance.py
@@ -271,6 +271,7 @@
         self._log.info("instance stops", active_count=self._callers.active_count)
         self._tell_beliefs()
         self._tell_peers()
+        self._upstream.lift_head_limits()
         self._callers.begin_drain()
         self._callers.close_idle_connections()
         gevent.sleep(NOTICE_S)
--- a/packages/daemon/tests/test_upstream.py
+++ b/packages/daemon/tests/test_upstream.py
@@ -14,6 +14,7 @@
     AnswerTimeoutError,
     BrokenConnectionError,
     ConnectFailedError,
+    HeadLimitError,
     IncompleteAnswerError,
     LoadShedError,
     WrongAnswerError,
@@ -49,6 +50,35 @@
             time_limit_s=limit_s,
         )
 
+    def send_with_head_limit(self, target, head_limit_s):
+        return self.client.send(
+            target="t",
+            address=target.address,
+            request=UpstreamRequest(
+                method="GET",
+                target_path="/a",
+                headers={"Request-Id": "r1"},
+                body=None,
+                request_id="r1",
+            ),
+            time_limit_s=TIME_LIMIT_S,
+            head_limit_s=head_limit_s,
+        )
+
+    def test_head_limits_are_lifted(self):
+        """Guards against a request that a stopping instance breaks off and cannot place again.
+
+        The limit is lifted while one request waits, and holds for no later one.
+        """
+        target = self.target([0.4, OK])
+        with self.assertRaises(HeadLimitError):
+            self.send_with_head_limit(target, 0.2)
+        running = gevent.spawn(self.send_with_head_limit, target, 0.2)
+        gevent.sleep(0.1)
+        self.client.lift_head_limits()
+        self.assertEqual(running.get(timeout=2.0).body, b"ok")
+        self.assertEqual(self.send_with_head_limit(target, 0.2).body, b"ok")
+
     def assert_closed(self, target):
         """Check that the target sees the end of its connection soon."""
         ends_at_s = time.monotonic() + NOTICE_LIMIT_S
