--- a/packages/daemon/src/tanagerreachd/_upstream.py
+++ b/packages/daemon/src/tanagerreachd/_upstream.py
@@ -211,7 +211,14 @@
     :param dialect: how targets name requests and shed load.
     """
 
-    __slots__ = ("_connect_timeout_s", "_dialect", "_idle_timeout_s", "_pools")
+    __slots__ = (
+        "_connect_timeout_s",
+        "_dialect",
+        "_has_head_limits",
+        "_head_timers",
+        "_idle_timeout_s",
+        "_pools",
+    )
 
     def __init__(
         self,
