Log each home's load, and who decided a placement after how long

A home now logs its load once a second, and lines of requests say whether the instance decided alone and how long the decision took. No decision changes.

--- a/packages/core/src/tanagerreach_core/_fleet_retry_budget.py
+++ b/packages/core/src/tanagerreach_core/_fleet_retry_budget.py
@@ -8,6 +8,7 @@
 
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 
 BUCKETS_PER_WINDOW = 10
 # Share of the allowance that a new home uses at first, unless it knows what the former home has
@@ -18,6 +19,15 @@
 RetryCounts = list[tuple[int, int, int]]
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class RetryBudgetUse:
+    """First tries and retries of a window, and the number of retries that it allows."""
+
+    first_tries: int
+    retries: int
+    limit: float
+
+
 class FleetRetryBudget:
     """Bounds retries in a sliding window to a share of the first tries and an allowance.
 
@@ -63,10 +73,18 @@
 
     def allows(self, now_s: float) -> bool:
         """Return whether one more retry fits in the window."""
+        use = self.use(now_s)
+        return use.retries + 1 <= use.limit
+
+    def use(self, now_s: float) -> RetryBudgetUse:
+        """Return the counts of the window and the limit that follows from them."""
         counts = self.counts(now_s)
         first_tries = sum(entry[1] for entry in counts)
-        retries = sum(entry[2] for entry in counts)
-        return retries + 1 <= self._ratio * first_tries + self._allowance_now(now_s)
+        return RetryBudgetUse(
+            first_tries=first_tries,
+            retries=sum(entry[2] for entry in counts),
+            limit=self._ratio * first_tries + self._allowance_now(now_s),
+        )
 
     def counts(self, now_s: float) -> RetryCounts:
         """Return the counts of the window, for the home that may take over."""
--- a/packages/core/src/tanagerreach_core/_placement.py
+++ b/packages/core/src/tanagerreach_core/_placement.py
@@ -14,7 +14,7 @@
 
 from ._crash_streaks import CrashStreaks
 from ._failure_estimator import FailureEstimator
-from ._fleet_retry_budget import FleetRetryBudget
+from ._fleet_retry_budget import FleetRetryBudget, RetryBudgetUse
 from ._outcomes import FAILURES, NOT_STARTED, Outcome
 from ._placement_messages import (
     FailureDigest,
@@ -60,6 +60,19 @@
     failing_after: float
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class PlacementLoad:
+    """State of a service at its home, for the log.
+
+    :param unserved_share: share of the recent requests that were not served, from 0 to 1.
+    """
+
+    waiting_count: int
+    in_flight_count: int
+    unserved_share: float
+    retry_budget: RetryBudgetUse
+
+
 Decision = tuple[WaitingRequest, PlacementReply]
 
 
@@ -124,6 +137,15 @@
         """Number of placed requests without a completion."""
         return len(self._placed)
 
+    def load(self, now_s: float) -> PlacementLoad:
+        """Return the service's present load."""
+        return PlacementLoad(
+            waiting_count=len(self._queue),
+            in_flight_count=len(self._placed),
+            unserved_share=self._results.unserved_share(now_s),
+            retry_budget=self._retry_budget.use(now_s),
+        )
+
     def configure(self, targets: Iterable[PlacementTarget], now_s: float) -> None:
         """Set the targets that may take new requests."""
         wanted = {target.name: target for target in targets}
--- a/packages/daemon/src/tanagerreachd/gateway/_application.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_application.py
@@ -243,6 +243,7 @@
     ) -> UpstreamResponse:
         while True:
             placement = self._placement_client.acquire(partial(self._placement_request, request))
+            self._log.placement_decided(request.service_name, placement)
             if not placement.is_granted:
                 raise self._placement_refused(request, placement)
             try:
--- a/packages/daemon/src/tanagerreachd/gateway/_home_server.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_home_server.py
@@ -56,6 +56,14 @@
     window_s: float
 
 
+@dataclass(slots=True, kw_only=True)
+class _Work:
+    """Placement requests of one service since the last report, and the time they took."""
+
+    request_count: int = 0
+    decision_s: float = 0.0
+
+
 class HomeServer:
     """Places requests and counts quotas for the whole fleet.
 
@@ -96,6 +104,7 @@
         self._quota = WorkspaceQuota()
         self._list_age_ms = list_age_ms
         self._last_request_s: dict[str, float] = {}
+        self._work: dict[str, _Work] = {}
         self._received_digests: dict[str, tuple[FailureDigest, float]] = {}
         self._returned_s: dict[str, float] = {}
         self._out_data_centres: frozenset[str] = frozenset()
@@ -223,6 +232,29 @@
                 self._dispatch_waiting(name, service, now_s)
         gevent.sleep(DISPATCH_INTERVAL_S)
 
+    def report_load(self) -> None:
+        """Log the load of each service that was homed here since the last report."""
+        now_s = _clock.now_s()
+        reported, self._work = self._work, {}
+        for name, work in reported.items():
+            service = self._services.get(name)
+            if service is None or not work.request_count:
+                continue
+            load = service.load(now_s)
+            self._log.info(
+                "home load",
+                service=name,
+                request_count=work.request_count,
+                decision_ms=int(1000 * work.decision_s),
+                waiting_count=load.waiting_count,
+                in_flight_count=load.in_flight_count,
+                unserved_percent=round(100 * load.unserved_share),
+                first_tries=load.retry_budget.first_tries,
+                retries=load.retry_budget.retries,
+                retry_limit=int(load.retry_budget.limit),
+                fleet_percent=round(100 * self._peer_table.fleet_share(now_s)),
+            )
+
     def _place_when_current(
         self, requester: str, placement_request: PlacementRequest, send_reply: ReplyCallback
     ) -> None:
@@ -245,7 +277,10 @@
             service = self._add_service(placement_request.service, now_s)
         self._last_request_s[placement_request.service] = now_s
         key = (requester, placement_request.call_id)
+        work = self._work.setdefault(placement_request.service, _Work())
+        work.request_count += 1
         reply = service.place(key, placement_request, now_s)
+        work.decision_s += _clock.now_s() - now_s
         waiting = self._waiting[placement_request.service]
         if reply.state is PlacementState.QUEUED:
             waiting[key] = send_reply
@@ -268,13 +303,21 @@
         self._waiting[name] = {}
         service.configure(self._targets(name, now_s), now_s)
         received_digest = self._received_digests.get(name)
+        digest_age_s = None if received_digest is None else now_s - received_digest[1]
         if received_digest is not None and now_s - received_digest[1] < DIGEST_EXPIRY_S:
             service.adopt(received_digest[0], now_s)
-        self._log.info("service homed here", service=name, target_count=len(self._directory))
+        self._log.info(
+            "service homed here",
+            service=name,
+            target_count=len(self._directory),
+            digest_age_s=None if digest_age_s is None else round(digest_age_s, 2),
+        )
         return service
 
     def _dispatch_waiting(self, name: str, service: ServicePlacement, now_s: float) -> None:
-        for request, reply in service.dispatch(now_s):
+        decisions = service.dispatch(now_s)
+        self._work.setdefault(name, _Work()).decision_s += _clock.now_s() - now_s
+        for request, reply in decisions:
             send_reply = self._waiting[name].pop(request.key, None)
             if send_reply is not None:
                 reply.list_age_ms = self._list_age_ms()
--- a/packages/daemon/src/tanagerreachd/gateway/_instance.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_instance.py
@@ -79,6 +79,7 @@
 STOP_MARGIN_S = 0.7
 STOP_POLL_S = 0.02
 SWEEP_INTERVAL_S = 2.0
+LOAD_REPORT_INTERVAL_S = 1.0
 DEFAULT_LIMITS = CallerLimits(
     header_bytes=16 * 1024, body_bytes=64 * 1024 * 1024, header_time_s=3.0, idle_time_s=15.0
 )
@@ -259,6 +260,7 @@
         self._loops.start(self._operators.run_watch)
         self._loops.start(self._targets.run)
         self._loops.start(self._homes.run)
+        self._loops.start(self._homes.report_load, LOAD_REPORT_INTERVAL_S)
         self._loops.start(self._run_heartbeat)
         self._loops.start(self._send_digests, DIGEST_INTERVAL_S)
         self._loops.start(self._watch.run)
--- a/packages/daemon/src/tanagerreachd/gateway/_placement_client.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_placement_client.py
@@ -35,11 +35,15 @@
     """Reply to a placement request.
 
     :param home: the peer that decided, ``None`` for this instance.
+    :param decided_alone: whether this instance decided because no home replied.
+    :param waited_s: time until the reply.
     """
 
     placement_request: PlacementRequest
     reply: PlacementReply
     home: Peer | None
+    decided_alone: bool = False
+    waited_s: float = 0.0
 
     @property
     def is_granted(self) -> bool:
@@ -75,6 +79,12 @@
             targets that may be out of date is accepted; called anew for each home, since the
             remaining time shrinks.
         """
+        started_s = _clock.now_s()
+        placement = self._acquire(make_request)
+        placement.waited_s = _clock.now_s() - started_s
+        return placement
+
+    def _acquire(self, make_request: Callable[[int, bool], PlacementRequest]) -> Placement:
         first = make_request(self._calls.next_id(), False)
         homes = self._homes_of(service_rendezvous_key(first.service))
         # When no home has a current list of targets, the first that replies decides by a stale one.
@@ -94,6 +104,7 @@
             placement_request=placement_request,
             reply=self._request_placement(None, placement_request),
             home=None,
+            decided_alone=True,
         )
 
     def complete(self, placement: Placement, outcome: Outcome, latency_s: float) -> None:
--- a/packages/daemon/src/tanagerreachd/gateway/_request_log.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_request_log.py
@@ -41,6 +41,8 @@
     reply = placement.reply
     return {
         "placed_by": "" if placement.home is None else placement.home.name,
+        "decided_alone": placement.decided_alone,
+        "placement_ms": int(1000 * placement.waited_s),
         "doubt_percent": reply.failure_percent,
         "waiting_count": reply.waiting_count,
         "free_slot_count": reply.free_slot_count,
@@ -71,12 +73,26 @@
         self._latency = metrics.latency(
             "tanagerreach_request_seconds", "Time from a request to its answer", ("service",)
         )
+        self._placements = metrics.counter(
+            "tanagerreach_placements_total",
+            "Decisions of homes, or of this instance when no home replied",
+            ("service", "decided_by"),
+        )
+        self._placement_latency = metrics.latency(
+            "tanagerreach_placement_seconds", "Time until a decision", ("service",)
+        )
         metrics.gauge(
             "tanagerreach_log_lines_dropped",
             "Log lines of requests that were not written",
             lambda: self._served.dropped_count + self._failed.dropped_count,
         )
 
+    def placement_decided(self, service: str, placement: Any) -> None:
+        """Count a decision on a request's placement."""
+        decided_by = "alone" if placement.decided_alone else "home"
+        self._placements.add(1, service, decided_by)
+        self._placement_latency.record(placement.waited_s, service)
+
     def try_ended(
         self,
         request: Any,
