Reproduce the excess of retries and the overload of a home at size

Two replays of decisions alone, with the numbers of a grown deployment: a fleet whose instances use many homes while all targets shed, and one home while most of its targets shed.

--- /dev/null
+++ b/packages/core/tests/test_placement_at_size.py
@@ -0,0 +1,262 @@
+"""Tests of placement with as many instances, targets and requests as a grown deployment has."""
+
+import heapq
+import time
+import unittest
+from random import Random
+
+from tanagerreach_core.messages import PlacementRequest, PlacementState
+from tanagerreach_core.placement import FleetRetryBudget, PlacementTarget, ServicePlacement
+from tanagerreach_core.traffic import Outcome
+
+INSTANCE_COUNT = 136
+TARGET_COUNT = 113
+SLOT_COUNT = 4
+REQUESTS_PER_S = 506.0
+SERVICE_TIME_S = 0.31
+SHED_AFTER_S = 0.005
+MAX_TRIES = 3
+# The platform's bound on retries.
+RETRY_RATIO = 0.2
+RETRY_ALLOWANCE = 220.0
+RETRY_WINDOW_S = 10.0
+# Most instances have this share of a core, and half of it is for receiving and sending messages.
+CORE_SHARE = 0.43
+DECISION_SHARE = CORE_SHARE / 2
+
+
+def make_home():
+    """Return the placement of a service that a new home would have."""
+    home = ServicePlacement(
+        retry_budget=FleetRetryBudget(
+            ratio=RETRY_RATIO, allowance=RETRY_ALLOWANCE, window_s=RETRY_WINDOW_S
+        ),
+        floor_share=0.7,
+    )
+    home.configure(
+        [
+            PlacementTarget(
+                name=f"t{number}",
+                address=f"10.0.0.{number}:80",
+                data_centre=f"dc-{number % 3}",
+                slot_count=SLOT_COUNT,
+            )
+            for number in range(TARGET_COUNT)
+        ],
+        0.0,
+    )
+    return home
+
+
+def make_placement_request(call_id, instance, *, excluded=(), waited_s=0.0):
+    return PlacementRequest(
+        call_id=call_id,
+        service="s",
+        workspace=f"w{call_id % 87}",
+        priority=1,
+        remaining_ms=int(1000 * (5.0 - waited_s)),
+        objective_ms=int(1000 * (1.5 - waited_s)),
+        is_retryable=False,
+        is_retry=bool(excluded),
+        data_centre=f"dc-{instance % 3}",
+        fingerprint=b"",
+        excluded=list(excluded),
+    )
+
+
+class ShedReplay:
+    """Simulates one home while most of its targets shed requests.
+
+    :param shedding: number of targets that shed each second request.
+    """
+
+    LENGTH_S = 4.0
+
+    def __init__(self, seed, shedding):
+        self.random = Random(seed)
+        self.shedding = {f"t{number}" for number in range(shedding)}
+        self.home = make_home()
+        self.call_count = self.request_count = 0
+        self.completions = []
+        self.arrivals = {}
+        self.decision_s = 0.0
+        self.longest_queue = 0
+
+    def run(self, limit_s):
+        """Play the replay, or as much of it as the time limit allows.
+
+        :returns: the simulated seconds that were played.
+        """
+        started_s = time.process_time()
+        arrival_s = 0.0
+        while arrival_s < self.LENGTH_S and self.decision_s < limit_s:
+            if self.completions and self.completions[0][0] <= arrival_s:
+                now_s, key, outcome = heapq.heappop(self.completions)
+                self.complete(key, outcome, now_s)
+            else:
+                now_s = arrival_s
+                arrival_s += self.random.expovariate(REQUESTS_PER_S)
+                self.request_count += 1
+                self.place(now_s, now_s, ())
+            for request, reply in self.home.dispatch(now_s):
+                self.take(request.key, reply, now_s)
+            self.longest_queue = max(self.longest_queue, len(self.home))
+            self.decision_s = time.process_time() - started_s
+        return arrival_s
+
+    def place(self, now_s, arrived_s, excluded):
+        self.call_count += 1
+        instance = self.random.randrange(INSTANCE_COUNT)
+        key = (f"i{instance}", self.call_count)
+        self.arrivals[key] = (arrived_s, excluded, now_s)
+        placement_request = make_placement_request(
+            self.call_count, instance, excluded=excluded, waited_s=now_s - arrived_s
+        )
+        self.take(key, self.home.place(key, placement_request, now_s), now_s)
+
+    def take(self, key, reply, now_s):
+        if reply.state is not PlacementState.GRANTED:
+            return
+        arrived_s, excluded, _ = self.arrivals[key]
+        self.arrivals[key] = (arrived_s, (*excluded, reply.target), now_s)
+        if reply.target in self.shedding and self.random.random() < 0.5:
+            ends_s, outcome = now_s + SHED_AFTER_S, Outcome.SHED
+        else:
+            ends_s, outcome = now_s + self.random.expovariate(1 / SERVICE_TIME_S), Outcome.SUCCESS
+        heapq.heappush(self.completions, (ends_s, key, outcome))
+
+    def complete(self, key, outcome, now_s):
+        arrived_s, excluded, started_s = self.arrivals.pop(key)
+        self.home.complete(key, outcome, now_s - started_s, b"", now_s)
+        if outcome is Outcome.SHED and len(excluded) < MAX_TRIES:
+            self.place(now_s, arrived_s, excluded)
+
+
+class HomeCostTest(unittest.TestCase):
+    """Load pattern: most targets of a large service shed requests, and a queue builds."""
+
+    def test_home_decides_in_time_while_targets_shed(self):
+        """Guards against a home that replies so late that its requesters take it for dead."""
+        for shedding in (0, 96, TARGET_COUNT):
+            with self.subTest(shedding=shedding):
+                replay = ShedReplay(1, shedding)
+                played_s = replay.run(DECISION_SHARE * ShedReplay.LENGTH_S)
+                self.assertGreaterEqual(played_s, ShedReplay.LENGTH_S)
+
+
+class FleetReplay:
+    """Simulates the retries of a service's requests while its home is lost, moves and returns.
+
+    The home replies too late for two periods, so that instances use other homes or decide alone;
+    it is stopped and comes back; and instances are restarted in turn.
+    """
+
+    LENGTH_S = 24.0
+    OVERLOADS_S = ((6.0, 9.0), (18.0, 21.0))
+    HOME_STOPPED_S, HOME_RETURNED_S = 11.0, 14.0
+    RESTARTS_S = (14.0, 22.0)
+    RESTARTED_COUNT = 61
+    DIGEST_INTERVAL_S = 0.4
+
+    def __init__(self, seed):
+        self.random = Random(seed)
+        self.homes = {}
+        self.call_count = 0
+        self.requests_s = []
+        self.retries_s = []
+
+    def run(self):
+        now_s = digests_s = 0.0
+        events = [(self.HOME_STOPPED_S, 0), (self.HOME_RETURNED_S, 0)]
+        first_s, last_s = self.RESTARTS_S
+        for number in range(self.RESTARTED_COUNT):
+            restart_s = first_s + (last_s - first_s) * number / self.RESTARTED_COUNT
+            events.append((restart_s, 2 + number))
+        events.sort()
+        while now_s < self.LENGTH_S:
+            now_s += self.random.expovariate(REQUESTS_PER_S)
+            while events and events[0][0] <= now_s:
+                self.restart(events.pop(0)[1])
+            if now_s >= digests_s:
+                digests_s = now_s + self.DIGEST_INTERVAL_S
+                self.send_digests(now_s)
+            self.serve(self.random.randrange(INSTANCE_COUNT), now_s)
+        return self
+
+    def home_of(self, instance, now_s):
+        main = 1 if self.HOME_STOPPED_S <= now_s < self.HOME_RETURNED_S else 0
+        if any(start <= now_s < end for start, end in self.OVERLOADS_S):
+            return self.random.choice((main, 1, 2, instance))
+        return main
+
+    def home(self, number):
+        if number not in self.homes:
+            self.homes[number] = make_home()
+        return self.homes[number]
+
+    def restart(self, instance):
+        self.homes.pop(instance, None)
+
+    def send_digests(self, now_s):
+        for number, home in list(self.homes.items()):
+            self.home(1 if number == 0 else 0).adopt(home.digest("s", now_s), now_s)
+
+    def serve(self, instance, now_s):
+        """Serve a request, each try of which is shed."""
+        self.requests_s.append(now_s)
+        excluded = ()
+        while len(excluded) < MAX_TRIES:
+            target = self.try_once(instance, excluded, now_s)
+            if target is None:
+                return
+            if excluded:
+                self.retries_s.append(now_s)
+            excluded = (*excluded, target)
+
+    def try_once(self, instance, excluded, now_s):
+        """Return the target that the request was sent to, ``None`` when it was refused."""
+        home = self.home(self.home_of(instance, now_s))
+        self.call_count += 1
+        key = (f"i{instance}", self.call_count)
+        reply = home.place(
+            key, make_placement_request(self.call_count, instance, excluded=excluded), now_s
+        )
+        if reply.state is PlacementState.QUEUED:
+            home.withdraw(key)
+        if reply.state is not PlacementState.GRANTED:
+            return None
+        home.complete(key, Outcome.SHED, SHED_AFTER_S, b"", now_s)
+        return reply.target
+
+    def excess(self):
+        """Return by how much the retries of the worst window exceed the platform's bound."""
+        return max(
+            count(self.retries_s, start_s, RETRY_WINDOW_S)
+            - RETRY_ALLOWANCE
+            - RETRY_RATIO
+            * max(
+                count(self.requests_s, start_s - earlier_s, RETRY_WINDOW_S)
+                for earlier_s in (0.0, RETRY_WINDOW_S / 2, RETRY_WINDOW_S)
+            )
+            for start_s in (step / 4.0 for step in range(int(4 * self.LENGTH_S)))
+        )
+
+
+def count(times_s, start_s, length_s):
+    return sum(start_s <= at_s < start_s + length_s for at_s in times_s)
+
+
+class FleetRetryTest(unittest.TestCase):
+    """Load pattern: all targets of a service shed while instances disagree on its home."""
+
+    def test_many_homes_exceed_the_retry_budget(self):
+        """Guards against instances that each allow a share of the same retries."""
+        for seed in range(2):
+            with self.subTest(seed=seed):
+                replay = FleetReplay(seed).run()
+                self.assertGreater(len(replay.retries_s), RETRY_ALLOWANCE)
+                self.assertLessEqual(replay.excess(), 0.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
