Give each instance its own right to retry

Cause: the right to retry was copied. Each instance that took over as a home, or decided alone, started with 30% of the whole fleet's allowance, and a digest gave it the counts, and so the unused rest, of another home that went on. Two homes at once merged their counts by the maximum, so retries of both in the same second counted once. A try after a 421 did not count as a retry at all.

The right now belongs to the instance that sends the retry: a share of the requests that it received itself, and an equal part of the allowance. The rights add up to the fleet's whoever places the requests, so the counts leave the digest and the homes. An instance gets its part of the allowance one window after its start, since its former incarnation may have used it, and counts instances that it no longer hears for ten minutes.

--- a/packages/core/src/tanagerreach_core/_peer_table.py
+++ b/packages/core/src/tanagerreach_core/_peer_table.py
@@ -18,6 +18,8 @@
 COMPETING_HOME_TIMEOUT_S = 6.0
 # A peer that was silent for this long no longer counts as a part of the fleet.
 PEER_EXPIRY_S = 60.0
+# Entries of instances in the store expire after this time.
+LARGEST_SIZE_EXPIRY_S = 600.0
 # A peer that did not reply to a request gets no further ones for this long; the time doubles while
 # the peer stays silent.
 SUSPICION_MIN_S = 1.5
@@ -55,6 +57,8 @@
     __slots__ = (
         "_own_live_since_s",
         "_own_name",
+        "_largest_size",
+        "_largest_size_at_s",
         "_peers",
         "heartbeat_s",
         "own_store_reachable",
@@ -66,6 +70,8 @@
         self._own_name = own_name
         self.heartbeat_s = heartbeat_s
         self._peers: dict[str, Peer] = {}
+        self._largest_size = 1
+        self._largest_size_at_s = float("-inf")
         self.own_is_home = True
         self.own_store_reachable = True
 
@@ -168,6 +174,17 @@
         """Return the number of known instances, this one included."""
         return 1 + len(self._peers)
 
+    def largest_size(self, now_s: float) -> int:
+        """Return the largest number of known instances of the last minutes.
+
+        Instances that are cut off from this one for long may still use their part of a right.
+        """
+        is_outdated = now_s - self._largest_size_at_s > LARGEST_SIZE_EXPIRY_S
+        if self.size() >= self._largest_size or is_outdated:
+            self._largest_size = self.size()
+            self._largest_size_at_s = now_s
+        return self._largest_size
+
     def expire_silent(self, now_s: float) -> list[str]:
         """Remove silent peers after ``PEER_EXPIRY_S``, leaving ones after the heartbeat timeout.
 
--- a/packages/core/src/tanagerreach_core/_placement.py
+++ b/packages/core/src/tanagerreach_core/_placement.py
@@ -14,7 +14,6 @@
 
 from ._crash_streaks import CrashStreaks
 from ._failure_estimator import FailureEstimator
-from ._fleet_retry_budget import FleetRetryBudget, RetryBudgetUse
 from ._outcomes import FAILURES, NOT_STARTED, Outcome
 from ._placement_messages import (
     FailureDigest,
@@ -70,7 +69,6 @@
     waiting_count: int
     in_flight_count: int
     unserved_share: float
-    retry_budget: RetryBudgetUse
 
 
 Decision = tuple[WaitingRequest, PlacementReply]
@@ -79,7 +77,6 @@
 class ServicePlacement:
     """Targets and queued requests of one service at its home.
 
-    :param retry_budget: the service's retry budget.
     :param floor_share: share of the targets that has to be in use while many requests are not
         served, from 0 to 1.
     """
@@ -93,7 +90,6 @@
         "_latency",
         "_queue",
         "_placed",
-        "_retry_budget",
         "_lost_checked_at_s",
         "_results",
         "_slot_count",
@@ -101,8 +97,7 @@
         "_undelivered",
     )
 
-    def __init__(self, *, retry_budget: FleetRetryBudget, floor_share: float) -> None:
-        self._retry_budget = retry_budget
+    def __init__(self, *, floor_share: float) -> None:
         self._floor_share = floor_share
         self._crashes = CrashStreaks()
         self._queue = StartTimeFairQueue()
@@ -143,7 +138,6 @@
             waiting_count=len(self._queue),
             in_flight_count=len(self._placed),
             unserved_share=self._results.unserved_share(now_s),
-            retry_budget=self._retry_budget.use(now_s),
         )
 
     def configure(self, targets: Iterable[PlacementTarget], now_s: float) -> None:
@@ -180,8 +174,6 @@
         if refusal is not None:
             self.record_refusal(now_s)
             return self._finish(request, refusal)
-        if not placement_request.is_retry:
-            self._retry_budget.record_first_try(now_s)
         self._queue.add(request)
         # Other requests may have been decided too; the next dispatch returns them.
         self._undelivered = self.dispatch(now_s)
@@ -267,7 +259,6 @@
                 name: (-negative, age_ms)
                 for negative, age_ms, name in estimates[:DIGEST_TARGETS_MAX]
             },
-            retry_counts=self._retry_budget.counts(now_s),
         )
 
     def adopt(self, digest: FailureDigest, now_s: float) -> None:
@@ -277,7 +268,6 @@
             if state is not None:
                 state.failure_estimator.adopt(failure_probability, age_ms / MS_PER_S, now_s)
         self._failure_probabilities.clear()
-        self._retry_budget.adopt(digest.retry_counts, now_s)
         if not self._placed:
             self._latency.adopt(digest.service_time_ms / MS_PER_S)
 
@@ -309,8 +299,6 @@
             return self._refuse(placement_request, RefusalCause.CRASH_REQUEST)
         if not any(name not in placement_request.excluded for name in self._targets):
             return self._refuse(placement_request, RefusalCause.NO_TARGET, RETRY_AFTER_MIN_S)
-        if placement_request.is_retry and not self._retry_budget.allows(now_s):
-            return self._refuse(placement_request, RefusalCause.REPEAT_BUDGET)
         wait_s = self._expected_wait_s(placement_request, now_s)
         if now_s + wait_s + self.service_time_s > request.deadline_s:
             cause = RefusalCause.NO_ROOM if wait_s else RefusalCause.DEADLINE
@@ -351,13 +339,9 @@
         placement_request = request.placement_request
         if now_s + self._min_service_time_s() > request.deadline_s:
             return self._refuse(placement_request, RefusalCause.NO_ROOM, self.service_time_s)
-        if placement_request.is_retry and not self._retry_budget.allows(now_s):
-            return self._refuse(placement_request, RefusalCause.REPEAT_BUDGET)
         state = self._choose(request, now_s)
         if state is None:
             return None
-        if placement_request.is_retry:
-            self._retry_budget.record_retry(now_s)
         placed = PlacedRequest(request=request, target=state.spec.name, started_s=now_s)
         self._placed[request.key] = placed
         state.start(placed)
--- a/packages/core/src/tanagerreach_core/_placement_messages.py
+++ b/packages/core/src/tanagerreach_core/_placement_messages.py
@@ -138,14 +138,12 @@
     """Sends a home's estimates to the instance that would be the service's next home.
 
     ``failure_probabilities`` has, by target, the probability that it fails requests now, and the
-    milliseconds since its latest outcome. ``retry_counts`` has the counts of the service's retry
-    budget: age of the bucket, first tries, retries.
+    milliseconds since its latest outcome.
     """
 
     service: str
     service_time_ms: int
     failure_probabilities: dict[str, tuple[float, int]]
-    retry_counts: list[tuple[int, int, int]] = msgspec.field(default_factory=list)
 
 
 class RefusalNotice(msgspec.Struct, kw_only=True, array_like=True, tag=28):
--- a/packages/core/src/tanagerreach_core/placement.py
+++ b/packages/core/src/tanagerreach_core/placement.py
@@ -2,7 +2,7 @@
 
 from ._crash_streaks import CrashStreaks
 from ._failure_estimator import FailureEstimator
-from ._fleet_retry_budget import FleetRetryBudget
+from ._instance_retry_budget import InstanceRetryBudget, RetryBudgetUse
 from ._peer_table import Peer, PeerTable
 from ._placement import PlacementEvent, ServicePlacement, may_retry
 from ._start_time_fair_queue import StartTimeFairQueue, WaitingRequest
@@ -12,11 +12,12 @@
 __all__ = [
     "CrashStreaks",
     "FailureEstimator",
-    "FleetRetryBudget",
+    "InstanceRetryBudget",
     "Peer",
     "PeerTable",
     "PlacementEvent",
     "PlacementTarget",
+    "RetryBudgetUse",
     "ServicePlacement",
     "StartTimeFairQueue",
     "WaitingRequest",
--- a/packages/core/tests/test_placement.py
+++ b/packages/core/tests/test_placement.py
@@ -5,7 +5,7 @@
 from random import Random
 
 from tanagerreach_core.messages import PlacementRequest, PlacementState, RefusalCause
-from tanagerreach_core.placement import FleetRetryBudget, PlacementTarget, ServicePlacement
+from tanagerreach_core.placement import PlacementTarget, ServicePlacement
 from tanagerreach_core.traffic import Outcome
 
 SERVICE_TIME_S = 0.2
@@ -26,11 +26,8 @@
     ]
 
 
-def make_placement(targets, allowance=50.0):
-    placement = ServicePlacement(
-        retry_budget=FleetRetryBudget(ratio=0.2, allowance=allowance, window_s=10.0),
-        floor_share=0.7,
-    )
+def make_placement(targets):
+    placement = ServicePlacement(floor_share=0.7)
     placement.configure(targets, 0.0)
     return placement
 
@@ -180,9 +177,7 @@
 
     def test_cold_target_gets_no_more_than_it_bears(self):
         """Guards against a cold target that is overloaded by a burst."""
-        placement = make_placement(
-            make_targets(1, cold_until_s=100.0, cold_rate_per_s=7.0), allowance=1000.0
-        )
+        placement = make_placement(make_targets(1, cold_until_s=100.0, cold_rate_per_s=7.0))
         requester = Requester(placement)
         starts = []
         now_s = 0.0
@@ -309,7 +304,7 @@
 
         Load pattern: all targets of a service shed half of the requests for some seconds.
         """
-        placement = make_placement(make_targets(4), allowance=1000.0)
+        placement = make_placement(make_targets(4))
         requester = Requester(placement)
         waits = []
         for number in range(100):
@@ -457,61 +452,6 @@
         requester = Requester(placement)
         self.assertEqual({requester.place(1.0)[1].target for _ in range(4)}, {"t0"})
 
-    def test_retries_stay_within_the_budget(self):
-        """Guards against a retry storm when all targets of a service fail."""
-        placement = make_placement(make_targets(6), allowance=5.0)
-        requester = Requester(placement)
-        retries = 0
-        for number in range(200):
-            now_s = number * 0.02
-            key, reply = requester.place(now_s)
-            if reply.state is PlacementState.GRANTED:
-                placement.complete(key, Outcome.BROKEN_BEFORE_HEAD, 0.01, b"", now_s)
-            key, reply = requester.place(now_s, is_retry=True, is_retryable=True)
-            if reply.state is PlacementState.GRANTED:
-                retries += 1
-                placement.complete(key, Outcome.BROKEN_BEFORE_HEAD, 0.01, b"", now_s)
-        self.assertGreater(retries, 10)
-        self.assertLessEqual(retries, 0.2 * 200 + 5)
-
-    def test_retries_stay_within_the_budget_while_homes_move(self):
-        """Guards against two homes that each allow retries for the same window.
-
-        Load pattern: all targets fail while the home moves each second, as instances restart.
-        """
-        allowance, length_s = 50.0, 10.0
-        retries = 0
-        digest = None
-        for step in range(int(length_s)):
-            home = make_placement(make_targets(6), allowance=allowance)
-            if digest is not None:
-                home.adopt(digest, step)
-            requester = Requester(home)
-            for number in range(20):
-                now_s = step + number / 20.0
-                for is_retry in (False, True, True):
-                    key, reply = requester.place(now_s, is_retry=is_retry, is_retryable=True)
-                    if reply.state is PlacementState.GRANTED:
-                        retries += is_retry
-                        home.complete(key, Outcome.BROKEN_BEFORE_HEAD, 0.005, b"", now_s)
-            digest = home.digest("s", now_s)
-        self.assertGreater(retries, allowance)
-        self.assertLessEqual(retries, 0.2 * 20 * length_s + allowance)
-
-    def test_partitioned_fleet_shares_the_retry_budget(self):
-        """Guards against isolated instances that each allow the retries of the whole fleet."""
-        budgets = [
-            FleetRetryBudget(ratio=0.2, allowance=56.0, window_s=10.0, fleet_share=lambda _: 1 / 16)
-            for _ in range(16)
-        ]
-        retries = 0
-        for budget in budgets:
-            for number in range(200):
-                if budget.allows(number * 0.05):
-                    budget.record_retry(number * 0.05)
-                    retries += 1
-        self.assertLessEqual(retries, 56)
-
     def test_crash_request_is_refused(self):
         """Guards against a request that crashes one target after the other."""
         placement = make_placement(make_targets(8))
--- a/packages/core/tests/test_placement_at_size.py
+++ b/packages/core/tests/test_placement_at_size.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from tanagerreach_core.messages import PlacementRequest, PlacementState
-from tanagerreach_core.placement import FleetRetryBudget, PlacementTarget, ServicePlacement
+from tanagerreach_core.placement import InstanceRetryBudget, PlacementTarget, ServicePlacement
 from tanagerreach_core.traffic import Outcome
 
 INSTANCE_COUNT = 136
@@ -27,12 +27,7 @@
 
 def make_home():
     """Return the placement of a service that a new home would have."""
-    home = ServicePlacement(
-        retry_budget=FleetRetryBudget(
-            ratio=RETRY_RATIO, allowance=RETRY_ALLOWANCE, window_s=RETRY_WINDOW_S
-        ),
-        floor_share=0.7,
-    )
+    home = ServicePlacement(floor_share=0.7)
     home.configure(
         [
             PlacementTarget(
@@ -48,6 +43,17 @@
     return home
 
 
+def make_budget(started_s=-RETRY_WINDOW_S):
+    """Return the retry budget of an instance that started at a time."""
+    return InstanceRetryBudget(
+        ratio=RETRY_RATIO,
+        allowance=RETRY_ALLOWANCE,
+        window_s=RETRY_WINDOW_S,
+        fleet_size=lambda now_s: INSTANCE_COUNT,
+        allowance_from_s=started_s + RETRY_WINDOW_S,
+    )
+
+
 def make_placement_request(call_id, instance, *, excluded=(), waited_s=0.0):
     return PlacementRequest(
         call_id=call_id,
@@ -78,6 +84,7 @@
         self.home = make_home()
         self.call_count = self.request_count = 0
         self.completions = []
+        self.budgets = [make_budget() for _ in range(INSTANCE_COUNT)]
         self.arrivals = {}
         self.decision_s = 0.0
         self.longest_queue = 0
@@ -97,16 +104,17 @@
                 now_s = arrival_s
                 arrival_s += self.random.expovariate(REQUESTS_PER_S)
                 self.request_count += 1
-                self.place(now_s, now_s, ())
+                instance = self.random.randrange(INSTANCE_COUNT)
+                self.budgets[instance].record_first_try(now_s)
+                self.place(instance, now_s, now_s, ())
             for request, reply in self.home.dispatch(now_s):
                 self.take(request.key, reply, now_s)
             self.longest_queue = max(self.longest_queue, len(self.home))
             self.decision_s = time.process_time() - started_s
         return arrival_s
 
-    def place(self, now_s, arrived_s, excluded):
+    def place(self, instance, now_s, arrived_s, excluded):
         self.call_count += 1
-        instance = self.random.randrange(INSTANCE_COUNT)
         key = (f"i{instance}", self.call_count)
         self.arrivals[key] = (arrived_s, excluded, now_s)
         placement_request = make_placement_request(
@@ -128,8 +136,11 @@
     def complete(self, key, outcome, now_s):
         arrived_s, excluded, started_s = self.arrivals.pop(key)
         self.home.complete(key, outcome, now_s - started_s, b"", now_s)
-        if outcome is Outcome.SHED and len(excluded) < MAX_TRIES:
-            self.place(now_s, arrived_s, excluded)
+        instance = int(key[0].removeprefix("i"))
+        budget = self.budgets[instance]
+        if outcome is Outcome.SHED and len(excluded) < MAX_TRIES and budget.reserve(now_s):
+            budget.spend(now_s)
+            self.place(instance, now_s, arrived_s, excluded)
 
 
 class HomeCostTest(unittest.TestCase):
@@ -161,6 +172,7 @@
     def __init__(self, seed):
         self.random = Random(seed)
         self.homes = {}
+        self.budgets = [make_budget() for _ in range(INSTANCE_COUNT)]
         self.call_count = 0
         self.requests_s = []
         self.retries_s = []
@@ -176,7 +188,7 @@
         while now_s < self.LENGTH_S:
             now_s += self.random.expovariate(REQUESTS_PER_S)
             while events and events[0][0] <= now_s:
-                self.restart(events.pop(0)[1])
+                self.restart(events.pop(0)[1], now_s)
             if now_s >= digests_s:
                 digests_s = now_s + self.DIGEST_INTERVAL_S
                 self.send_digests(now_s)
@@ -194,8 +206,9 @@
             self.homes[number] = make_home()
         return self.homes[number]
 
-    def restart(self, instance):
+    def restart(self, instance, now_s):
         self.homes.pop(instance, None)
+        self.budgets[instance] = make_budget(now_s)
 
     def send_digests(self, now_s):
         for number, home in list(self.homes.items()):
@@ -204,13 +217,20 @@
     def serve(self, instance, now_s):
         """Serve a request, each try of which is shed."""
         self.requests_s.append(now_s)
+        budget = self.budgets[instance]
+        budget.record_first_try(now_s)
         excluded = ()
         while len(excluded) < MAX_TRIES:
+            if excluded and not budget.reserve(now_s):
+                return
             target = self.try_once(instance, excluded, now_s)
+            if excluded and target is None:
+                budget.release()
+            elif excluded:
+                budget.spend(now_s)
+                self.retries_s.append(now_s)
             if target is None:
                 return
-            if excluded:
-                self.retries_s.append(now_s)
             excluded = (*excluded, target)
 
     def try_once(self, instance, excluded, now_s):
--- a/packages/daemon/src/tanagerreachd/gateway/__init__.py
+++ b/packages/daemon/src/tanagerreachd/gateway/__init__.py
@@ -1,8 +1,8 @@
 """Gateway instance: homes place requests; the platform's store lists targets and members."""
 
 from ._dialect import Dialect
-from ._home_server import RetryAllowance
 from ._instance import Gateway
+from ._retry_budgets import RetryAllowance
 from ._settings import GatewaySettings
 from ._sources import (
     CallerLimits,
--- a/packages/daemon/src/tanagerreachd/gateway/_application.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_application.py
@@ -8,7 +8,7 @@
 
 from tanagerreach_core.config import Resolver, RouteMatch, Workspace
 from tanagerreach_core.messages import PlacementRequest, RefusalCause
-from tanagerreach_core.placement import may_retry
+from tanagerreach_core.placement import RetryBudgetUse, may_retry
 from tanagerreach_core.traffic import Outcome
 
 from .. import _clock
@@ -21,6 +21,7 @@
 from .._streamed_response import StreamedResponse
 from .._upstream import BODILESS_STATUSES, UpstreamClient, UpstreamRequest, UpstreamResponse
 from .._upstream_errors import (
+    ConnectFailedError,
     HeadTimeoutError,
     IncompleteResponseError,
     LoadShedError,
@@ -31,6 +32,7 @@
 from ._placement_client import Placement, PlacementClient
 from ._request import GatewayRequest, caller_wait_s
 from ._request_log import RequestLog, placement_inputs
+from ._retry_budgets import RetryBudgets
 from ._sources import CallerLimits
 
 # Bodies up to this size are read before the placement request, so that no target slot is held
@@ -75,6 +77,7 @@
         resolver: Callable[[], Resolver | None],
         limits: Callable[[], CallerLimits],
         placement_client: PlacementClient,
+        retry_budgets: RetryBudgets,
         upstream: UpstreamClient,
         watch: CallerWatch,
         log: RequestLog,
@@ -84,6 +87,7 @@
         self._resolver = resolver
         self._limits = limits
         self._placement_client = placement_client
+        self._retry_budgets = retry_budgets
         self._upstream = upstream
         self._watch = watch
         self._log = log
@@ -202,6 +206,7 @@
         self._read_body(request)
         end_watch = self._watch.watch(request.environ) if self._has_body(request) else _no_op
         try:
+            self._retry_budgets.of(request.service_name).record_first_try(_clock.now_s())
             self._take_quota(request)
             return self._try_targets(request, end_watch)
         finally:
@@ -241,6 +246,36 @@
     def _try_targets(
         self, request: GatewayRequest, end_watch: Callable[[], None]
     ) -> UpstreamResponse:
+        while True:
+            if request.is_repeat:
+                placement = self._acquire_for_retry(request)
+            else:
+                placement = self._acquire(request)
+            if not request.match.idempotent:
+                # After a cancellation it would be unknown whether the request ran.
+                end_watch()
+            response = self._try_target(request, placement)
+            if response is not None:
+                return response
+
+    def _acquire_for_retry(self, request: GatewayRequest) -> Placement:
+        """Acquire a placement for a retry, which the retry budget has to allow."""
+        budget = self._retry_budgets.of(request.service_name)
+        if not budget.reserve(_clock.now_s()):
+            raise self._retry_refused(request, budget.use(_clock.now_s()))
+        try:
+            placement = self._acquire(request)
+        except BaseException:
+            budget.release()
+            raise
+        budget.spend(_clock.now_s())
+        return placement
+
+    def _acquire(self, request: GatewayRequest) -> Placement:
+        """Acquire a placement at a target that may get the request.
+
+        :raises RefusalError: when there is none.
+        """
         while True:
             placement = self._placement_client.acquire(partial(self._placement_request, request))
             self._log.placement_decided(request.service_name, placement)
@@ -252,17 +287,11 @@
             except BaseException:
                 self._placement_client.complete(placement, Outcome.CANCELLED, 0.0)
                 raise
-            if not is_allowed:
-                # The home has not yet applied that the data centre was taken out of service.
-                self._placement_client.complete(placement, Outcome.CANCELLED, 0.0)
-                request.excluded_targets.append(placement.reply.target)
-                continue
-            if not request.match.idempotent:
-                # After a cancellation it would be unknown whether the request ran.
-                end_watch()
-            response = self._try_target(request, placement)
-            if response is not None:
-                return response
+            if is_allowed:
+                return placement
+            # The home has not yet applied that the data centre was taken out of service.
+            self._placement_client.complete(placement, Outcome.CANCELLED, 0.0)
+            request.excluded_targets.append(placement.reply.target)
 
     def _placement_request(
         self, request: GatewayRequest, call_id: int, accepts_stale: bool
@@ -299,7 +328,7 @@
             outcome = _outcome(error)
         finally:
             took_s = _clock.now_s() - started_s
-            request.record_try(target, outcome)
+            request.record_try(target, outcome, has_arrived=_has_arrived(failure))
             self._placement_client.complete(placement, outcome, took_s)
             self._log.try_ended(request, placement, outcome, took_s, failure)
         if response is not None and not self._is_worth_retrying(request, outcome):
@@ -376,6 +405,18 @@
         }
         return refusal
 
+    def _retry_refused(self, request: GatewayRequest, use: RetryBudgetUse) -> RefusalError:
+        refusal = self._tries_failed(request, None)
+        refusal.inputs |= {
+            "service": request.service_name,
+            "workspace": request.workspace_name,
+            "cause": RefusalCause.REPEAT_BUDGET.name.lower(),
+            "first_tries": use.first_tries,
+            "retries": use.retries,
+            "retry_limit": round(use.limit, 1),
+        }
+        return refusal
+
     @staticmethod
     def _tries_failed(request: GatewayRequest, failure: UpstreamError | None) -> RefusalError:
         """Build the refusal of a request whose tries all failed."""
@@ -423,6 +464,11 @@
     return Outcome.BROKEN_BEFORE_HEAD
 
 
+def _has_arrived(failure: UpstreamError | None) -> bool:
+    """Return whether a try may have reached a target, which may have rejected it."""
+    return not isinstance(failure, ConnectFailedError)
+
+
 def _unavailable(cause: RefusalCause, retry_after_s: float) -> RefusalError:
     kind, detail = _REFUSALS[cause]
     return RefusalError(
--- a/packages/daemon/src/tanagerreachd/gateway/_home_server.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_home_server.py
@@ -15,7 +15,6 @@
     QuotaRequest,
 )
 from tanagerreach_core.placement import (
-    FleetRetryBudget,
     PeerTable,
     PlacementTarget,
     ServicePlacement,
@@ -43,19 +42,6 @@
 ReplyCallback = Callable[[PlacementReply], None]
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class RetryAllowance:
-    """Bound on retries of requests to one service over all instances.
-
-    :param ratio: retries for each first try.
-    :param allowance: further retries in each window.
-    """
-
-    ratio: float
-    allowance: float
-    window_s: float
-
-
 @dataclass(slots=True, kw_only=True)
 class _Work:
     """Placement requests of one service since the last report, and the time they took."""
@@ -85,7 +71,6 @@
         keep_targets_current: Callable[[], None],
         is_current: Callable[[], bool],
         list_age_ms: Callable[[], int],
-        retry_allowance: RetryAllowance,
         floor_share: float,
         heartbeat_s: float,
         log: InstanceLog,
@@ -95,7 +80,6 @@
         self._directory = directory
         self._keep_targets_current = keep_targets_current
         self._is_current = is_current
-        self._retry_allowance = retry_allowance
         self._floor_share = floor_share
         self._heartbeat_s = heartbeat_s
         self._log = log
@@ -249,9 +233,6 @@
                 waiting_count=load.waiting_count,
                 in_flight_count=load.in_flight_count,
                 unserved_percent=round(100 * load.unserved_share),
-                first_tries=load.retry_budget.first_tries,
-                retries=load.retry_budget.retries,
-                retry_limit=int(load.retry_budget.limit),
                 fleet_percent=round(100 * self._peer_table.fleet_share(now_s)),
             )
 
@@ -291,15 +272,7 @@
         self._dispatch_waiting(placement_request.service, service, now_s)
 
     def _add_service(self, name: str, now_s: float) -> ServicePlacement:
-        service = self._services[name] = ServicePlacement(
-            retry_budget=FleetRetryBudget(
-                ratio=self._retry_allowance.ratio,
-                allowance=self._retry_allowance.allowance,
-                window_s=self._retry_allowance.window_s,
-                fleet_share=self._peer_table.fleet_share,
-            ),
-            floor_share=self._floor_share,
-        )
+        service = self._services[name] = ServicePlacement(floor_share=self._floor_share)
         self._waiting[name] = {}
         service.configure(self._targets(name, now_s), now_s)
         received_digest = self._received_digests.get(name)
--- a/packages/daemon/src/tanagerreachd/gateway/_instance.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_instance.py
@@ -50,6 +50,7 @@
 from ._pipelined_requests import PipelinedRequest
 from ._placement_client import PlacementClient
 from ._request_log import RequestLog
+from ._retry_budgets import RetryBudgets
 from ._settings import GatewaySettings
 from ._sources import CallerLimits, OperatorState, Platform, SourceError
 from ._target_directory import TargetDirectory
@@ -179,11 +180,15 @@
             keep_targets_current=self._targets.keep_current,
             is_current=lambda: self._targets.is_current,
             list_age_ms=lambda: self._targets.age_ms,
-            retry_allowance=self._settings.retry_allowance,
             floor_share=self._settings.floor_share,
             heartbeat_s=self._settings.target_heartbeat_s,
             log=self._log,
         )
+        self._retry_budgets = RetryBudgets(
+            allowance=self._settings.retry_allowance,
+            fleet_size=self._peer_table.largest_size,
+            started_s=self._started_s,
+        )
         self._placement_client = PlacementClient(
             own_name=self._settings.instance_name,
             peer_table=self._peer_table,
@@ -206,6 +211,7 @@
             resolver=lambda: self._resolver,
             limits=lambda: self._limits,
             placement_client=self._placement_client,
+            retry_budgets=self._retry_budgets,
             upstream=self._upstream,
             watch=self._watch,
             log=RequestLog(log=self._log, metrics=self._metrics),
@@ -435,6 +441,7 @@
         self._callers.limits = _http_limits(self._limits)
         self._peer_table.own_is_home = not self._is_leaving
         self._homes.apply_configuration(state.configuration)
+        self._retry_budgets.drop_all_except(state.configuration.services)
         self._log.info(
             "configuration in force",
             revision=state.configuration.revision,
--- a/packages/daemon/src/tanagerreachd/gateway/_request.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_request.py
@@ -26,6 +26,7 @@
     :param caller_deadline_s: time until which the caller waits.
     :param response_deadline_s: time by which the response is due, also by the route's timeout.
     :param objective_s: time by which a response has its full value.
+    :param is_repeat: whether a target received the request before, also one that rejected it.
     :param excluded_targets: targets that a home assigned but that must not get the request.
     """
 
@@ -42,6 +43,7 @@
     tries: list[Try] = field(default_factory=list)
     excluded_targets: list[str] = field(default_factory=list)
     crash_fingerprint: bytes = b""
+    is_repeat: bool = False
 
     @property
     def method(self) -> str:
@@ -120,8 +122,9 @@
             accepts_stale=accepts_stale,
         )
 
-    def record_try(self, target: str, outcome: Outcome) -> None:
-        """Record the outcome of a try."""
+    def record_try(self, target: str, outcome: Outcome, *, has_arrived: bool) -> None:
+        """Record the outcome of a try, and whether it may have reached the target."""
+        self.is_repeat |= has_arrived
         self.tries.append(Try(target=target, outcome=outcome))
 
     def target_headers(self, dialect: Dialect, target: str, now_s: float) -> dict[str, str]:
--- a/packages/daemon/src/tanagerreachd/gateway/_settings.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_settings.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from .._option_kinds import Address
-from ._home_server import RetryAllowance
+from ._retry_budgets import RetryAllowance
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/packages/daemon/tests/test_gateway_homes.py
+++ b/packages/daemon/tests/test_gateway_homes.py
@@ -6,7 +6,7 @@
 from tanagerreach_core.config import Configuration, DataCentre, Limit, Resolver, Service, Workspace
 from tanagerreach_core.messages import PlacementRequest, PlacementState, QuotaRequest
 from tanagerreach_core.placement import PeerTable
-from tanagerreachd.gateway import ListedTarget, Listing, RetryAllowance, StoredItem
+from tanagerreachd.gateway import ListedTarget, Listing, StoredItem
 from tanagerreachd.gateway._home_server import HomeServer
 from tanagerreachd.gateway._target_directory import RETURN_GRACE_S, TargetDirectory
 
@@ -73,7 +73,6 @@
             keep_targets_current=lambda: None,
             is_current=lambda: self.is_current,
             list_age_ms=lambda: 0,
-            retry_allowance=RetryAllowance(ratio=0.2, allowance=10.0, window_s=10.0),
             floor_share=0.7,
             heartbeat_s=1.5,
             log=SilentLog(),
