Rank a service's targets at intervals instead of for each request

Requests are refused for lack of room, late, or placed at targets that other homes use (FLOOR, BUDGET).

Cause: a home evaluated all targets for each request, each queued request and each completion, several times. Replies then take longer than 350 ms, so requesters take the home for dead.

A home now evaluates all targets each 50 ms, and one when a request starts or ends there. A request takes the first entries of the ranking; a queued one that accepts no target with room costs no search. Arrivals do not search the queue; a completion considers the first 8 requests, the 20 ms tick all of them.

The replay dispatches as the home server does.

A retry that the instance's budget refuses is now reported to the home, which counts it as not served.

--- a/packages/core/src/tanagerreach_core/_placement.py
+++ b/packages/core/src/tanagerreach_core/_placement.py
@@ -9,6 +9,7 @@
 makes every response late.
 """
 
+import itertools
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -25,14 +26,14 @@
 from ._recent_results import RecentResults
 from ._service_latency import ServiceLatency
 from ._start_time_fair_queue import StartTimeFairQueue, WaitingRequest
+from ._target_ranking import HEALTHY_FAILURE_PROBABILITY_MAX, TargetRanking
 from ._target_state import PlacedRequest, PlacementTarget, TargetState
-from ._target_use import UNSERVED_SHARE_MAX, choose_idle_target
+from ._target_use import UNSERVED_SHARE_MAX, IdleTargetPlan
 
 MS_PER_S = 1000.0
 PERCENT = 100
-# Failure probability up to which a target gets a request without waiting. The bound rises while the
-# request waits, to 1 for retryable requests.
-INITIAL_FAILURE_PROBABILITY_MAX = 0.3
+# A target that is likely healthy gets a request without waiting. The bound on its failure
+# probability rises while the request waits, to 1 for retryable requests.
 NON_RETRYABLE_FAILURE_PROBABILITY_MAX = 0.7
 # Longest expected wait with which a request is queued, as a share of the time that it can wait and
 # still be served within its latency objective. A longer queue makes every request late and serves
@@ -83,18 +84,18 @@
 
     __slots__ = (
         "_crashes",
-        "_failure_probabilities",
-        "_failure_probabilities_at_s",
         "_finished_replies",
         "_floor_share",
+        "_idle_plan",
         "_latency",
+        "_queued_keys",
+        "_ranking",
         "_queue",
         "_placed",
         "_lost_checked_at_s",
         "_results",
         "_slot_count",
         "_targets",
-        "_undelivered",
     )
 
     def __init__(self, *, floor_share: float) -> None:
@@ -103,12 +104,11 @@
         self._queue = StartTimeFairQueue()
         self._targets: dict[str, TargetState] = {}
         self._placed: dict[tuple[str, int], PlacedRequest] = {}
-        # Cached for one point in time, since a dispatch needs them for each queued request.
-        self._failure_probabilities: dict[str, float] = {}
-        self._failure_probabilities_at_s = float("-inf")
+        self._queued_keys: set[tuple[str, int]] = set()
+        self._ranking = TargetRanking()
+        self._idle_plan: IdleTargetPlan | None = None
         # Replies by key: an instance sends its request again when a datagram was lost.
         self._finished_replies: dict[tuple[str, int], PlacementReply] = {}
-        self._undelivered: list[Decision] = []
         self._results = RecentResults()
         self._slot_count = 0
         self._lost_checked_at_s = float("-inf")
@@ -120,7 +120,7 @@
     @property
     def has_pending_decisions(self) -> bool:
         """Whether a call of :meth:`dispatch` may return decisions."""
-        return len(self._queue) > 0 or bool(self._undelivered)
+        return len(self._queue) > 0
 
     @property
     def service_time_s(self) -> float:
@@ -153,13 +153,17 @@
                 known.spec = spec
         for name in set(self._targets) - set(wanted):
             del self._targets[name]
-        self._failure_probabilities.clear()
+        self._ranking.set_targets(self._targets)
+        self._idle_plan = None
         self._slot_count = sum(target.slot_count for target in wanted.values())
 
     def place(
         self, key: tuple[str, int], placement_request: PlacementRequest, now_s: float
     ) -> PlacementReply:
-        """Place, queue or refuse a request; call :meth:`dispatch` afterwards."""
+        """Place, queue or refuse a request.
+
+        Requests that are already queued stay queued: no target that they would use has room.
+        """
         known = self._known_reply(key)
         if known is not None:
             return known
@@ -174,13 +178,12 @@
         if refusal is not None:
             self.record_refusal(now_s)
             return self._finish(request, refusal)
-        self._queue.add(request)
-        # Other requests may have been decided too; the next dispatch returns them.
-        self._undelivered = self.dispatch(now_s)
-        for number, (decided, reply) in enumerate(self._undelivered):
-            if decided is request:
-                del self._undelivered[number]
-                return reply
+        self._release_lost(now_s)
+        self._add(request)
+        reply = self._try_place(request, now_s)
+        if reply is not None:
+            self._remove(request, is_served=reply.state is PlacementState.GRANTED)
+            return self._finish(request, reply)
         return PlacementReply(call_id=placement_request.call_id, state=PlacementState.QUEUED)
 
     def record_refusal(self, now_s: float) -> None:
@@ -189,9 +192,11 @@
 
     def withdraw(self, key: tuple[str, int]) -> None:
         """Remove a queued request whose caller disconnected."""
+        if key not in self._queued_keys:
+            return
         for request in self._queue:
             if request.key == key:
-                self._queue.remove(request, is_served=False)
+                self._remove(request, is_served=False)
 
     def complete(
         self,
@@ -211,11 +216,11 @@
         if state is None:
             return None
         state.complete(key)
-        self._failure_probabilities.clear()
         before = state.failure_estimator.failure_probability(now_s)
         # A timeout that is shorter than a healthy target may need says nothing about the target.
         if outcome is not Outcome.TIMEOUT or latency_s >= self._latency.try_timeout_s:
             state.observe(key[0], outcome, latency_s, self.service_time_s, now_s)
+        self._ranking.update(state, self.service_time_s, now_s)
         if outcome is Outcome.SUCCESS:
             self._latency.record(latency_s)
             return None
@@ -267,28 +272,39 @@
             state = self._targets.get(name)
             if state is not None:
                 state.failure_estimator.adopt(failure_probability, age_ms / MS_PER_S, now_s)
-        self._failure_probabilities.clear()
+        self._ranking.invalidate()
         if not self._placed:
             self._latency.adopt(digest.service_time_ms / MS_PER_S)
 
-    def dispatch(self, now_s: float) -> list[Decision]:
-        """Place or refuse queued requests; the caller sends the replies to their instances."""
+    def dispatch(self, now_s: float, *, most: int | None = None) -> list[Decision]:
+        """Place or refuse queued requests; the caller sends the replies to their instances.
+
+        :param most: number of queued requests to consider, in their order; by default all.
+        """
         self._release_lost(now_s)
-        decisions, self._undelivered = self._undelivered, []
-        for request in self._queue:
+        decisions: list[Decision] = []
+        for request in itertools.islice(self._queue, most):
             reply = self._try_place(request, now_s)
             if reply is None:
                 continue
-            self._queue.remove(request, is_served=reply.state is PlacementState.GRANTED)
+            self._remove(request, is_served=reply.state is PlacementState.GRANTED)
             decisions.append((request, self._finish(request, reply)))
         return decisions
 
     # Queueing and refusing
 
+    def _add(self, request: WaitingRequest) -> None:
+        self._queue.add(request)
+        self._queued_keys.add(request.key)
+
+    def _remove(self, request: WaitingRequest, *, is_served: bool) -> None:
+        self._queue.remove(request, is_served=is_served)
+        self._queued_keys.discard(request.key)
+
     def _known_reply(self, key: tuple[str, int]) -> PlacementReply | None:
         if key in self._finished_replies:
             return self._finished_replies[key]
-        if any(request.key == key for request in self._queue):
+        if key in self._queued_keys:
             return PlacementReply(call_id=key[1], state=PlacementState.QUEUED)
         return None
 
@@ -328,12 +344,8 @@
         ahead = self._queue.count_ahead_of(placement_request.priority, placement_request.workspace)
         if not ahead:
             return 0.0
-        # A target that is likely to fail counts for a part of its slots only.
-        slot_count = sum(
-            state.spec.slot_count * (1 - self._request_failure_probability(state, now_s))
-            for state in self._targets.values()
-        )
-        return ahead * self.service_time_s / max(1.0, slot_count)
+        self._ranking.evaluate(self.service_time_s, now_s)
+        return ahead * self.service_time_s / max(1.0, self._ranking.capacity)
 
     def _try_place(self, request: WaitingRequest, now_s: float) -> PlacementReply | None:
         placement_request = request.placement_request
@@ -344,7 +356,9 @@
             return None
         placed = PlacedRequest(request=request, target=state.spec.name, started_s=now_s)
         self._placed[request.key] = placed
+        failure_probability = self._ranking.failure_probability(state.spec.name)
         state.start(placed)
+        self._ranking.update(state, self.service_time_s, now_s)
         return PlacementReply(
             call_id=placement_request.call_id,
             state=PlacementState.GRANTED,
@@ -353,7 +367,7 @@
             data_centre=state.spec.data_centre,
             try_timeout_ms=int(MS_PER_S * self._latency.try_timeout_s),
             service=placement_request.service,
-            failure_percent=round(PERCENT * self._request_failure_probability(state, now_s)),
+            failure_percent=round(PERCENT * failure_probability),
             waiting_count=len(self._queue) - 1,
             free_slot_count=self._free_slot_count(),
         )
@@ -379,60 +393,50 @@
             state = self._targets.get(placed.target)
             if state is not None:
                 state.complete(key)
+                self._ranking.update(state, self.service_time_s, now_s)
 
     # Choice of the target
 
-    def _request_failure_probability(self, state: TargetState, now_s: float) -> float:
-        if now_s != self._failure_probabilities_at_s:
-            self._failure_probabilities.clear()
-            self._failure_probabilities_at_s = now_s
-        name = state.spec.name
-        probability = self._failure_probabilities.get(name)
-        if probability is None:
-            probability = self._failure_probabilities[name] = state.request_failure_probability(
-                self.service_time_s, now_s
-            )
-        return probability
-
     def _choose(self, request: WaitingRequest, now_s: float) -> TargetState | None:
-        reachable = [
-            state
-            for name, state in self._targets.items()
-            if state.has_room(now_s)
-            and name not in request.placement_request.excluded
-            and state.is_reachable(request.key[0], now_s)
-        ]
-        if not reachable:
+        is_evaluated = self._ranking.evaluate(self.service_time_s, now_s)
+        if not self._ranking:
             return None
         if self._results.unserved_share(now_s) > UNSERVED_SHARE_MAX:
-            idle = choose_idle_target(
-                self._targets.values(),
-                reachable,
-                request_failure_probability=lambda state: self._request_failure_probability(
-                    state, now_s
-                ),
-                floor_share=self._floor_share,
+            if is_evaluated or self._idle_plan is None:
+                self._idle_plan = self._plan_idle_targets(now_s)
+            idle = self._idle_plan.take(
+                lambda state: self._may_use(state, request, now_s),
                 is_retryable=request.placement_request.is_retryable,
                 now_s=now_s,
             )
             if idle is not None:
                 return idle
-        limit = self._failure_probability_limit(request, now_s)
-        best: tuple[float, TargetState] | None = None
-        for state in reachable:
-            probability = self._request_failure_probability(state, now_s)
-            if probability > limit:
-                continue
-            cost = probability + state.selection_cost(request, self.service_time_s, now_s)
-            if best is None or cost < best[0]:
-                best = (cost, state)
-        return None if best is None else best[1]
+        else:
+            self._idle_plan = None
+        return self._ranking.best(request, self._failure_probability_limit(request, now_s), now_s)
+
+    def _plan_idle_targets(self, now_s: float) -> IdleTargetPlan:
+        return IdleTargetPlan(
+            self._targets.values(),
+            failure_probability=lambda state: self._ranking.failure_probability(state.spec.name),
+            floor_share=self._floor_share,
+            now_s=now_s,
+        )
+
+    @staticmethod
+    def _may_use(state: TargetState, request: WaitingRequest, now_s: float) -> bool:
+        return (
+            state.has_room(now_s)
+            and state.spec.name not in request.placement_request.excluded
+            and state.is_reachable(request.key[0], now_s)
+        )
 
     def _failure_probability_limit(self, request: WaitingRequest, now_s: float) -> float:
         """Return the highest failure probability to accept, which rises as the request waits."""
         latest_s = min(request.objective_s, request.deadline_s) - 2 * self.service_time_s
         spare_s = latest_s - request.arrived_s
-        if spare_s <= 0 or not self._has_healthier_target(request, now_s):
+        # Waiting helps only if a target that is likely healthy is merely busy.
+        if spare_s <= 0 or not self._ranking.has_healthy(request.placement_request.excluded):
             return 1.0
         waited = (now_s - request.arrived_s) / spare_s
         highest = (
@@ -440,15 +444,7 @@
         )
         return min(
             highest,
-            INITIAL_FAILURE_PROBABILITY_MAX + (1 - INITIAL_FAILURE_PROBABILITY_MAX) * waited,
-        )
-
-    def _has_healthier_target(self, request: WaitingRequest, now_s: float) -> bool:
-        """Return whether waiting may help, because a target that is likely healthy is only busy."""
-        return any(
-            name not in request.placement_request.excluded
-            and self._request_failure_probability(state, now_s) <= INITIAL_FAILURE_PROBABILITY_MAX
-            for name, state in self._targets.items()
+            HEALTHY_FAILURE_PROBABILITY_MAX + (1 - HEALTHY_FAILURE_PROBABILITY_MAX) * waited,
         )
 
 
--- a/packages/core/src/tanagerreach_core/_target_state.py
+++ b/packages/core/src/tanagerreach_core/_target_state.py
@@ -159,22 +159,29 @@
             return True
         return started_count < max(1, int(COLD_RATE_SHARE * self.spec.cold_rate_per_s))
 
-    def selection_cost(self, request: WaitingRequest, usual_s: float, now_s: float) -> float:
-        """Return the cost of choosing the target, besides its failure probability."""
+    @property
+    def is_untried(self) -> bool:
+        """Whether the target got no request since it joined."""
+        return self._is_untried
+
+    def may_try_first(self, request: WaitingRequest, now_s: float) -> bool:
+        """Return whether a request may be the target's first one."""
+        return request.placement_request.is_retryable or now_s - self.joined_s > UNTRIED_PAUSE_S
+
+    def selection_cost(self, usual_s: float, now_s: float) -> float:
+        """Return the part of the cost of choosing the target that no request changes.
+
+        :param usual_s: mean latency of the service.
+        """
         spec = self.spec
         load = len(self.in_flight) / max(1, spec.slot_count)
         cost = LOAD_WEIGHT * load * load
-        if spec.data_centre != request.placement_request.data_centre:
-            cost += DISTANCE_WEIGHT
         if self.failure_estimator.mean_latency_s and usual_s:
             cost += LATENCY_WEIGHT * min(4.0, self.failure_estimator.mean_latency_s / usual_s)
         if now_s < spec.cold_until_s:
             cost += LOAD_WEIGHT
         if spec.cold_rate_per_s > 0:
             cost += RATE_WEIGHT * self._started_count(now_s) / spec.cold_rate_per_s
-        may_try = request.placement_request.is_retryable or now_s - self.joined_s > UNTRIED_PAUSE_S
-        if self._is_untried and may_try:
-            cost -= UNTRIED_PREFERENCE
         idle = min(1.0, (now_s - self._latest_start_s) / IDLE_FULL_S)
         return cost - IDLE_PREFERENCE * idle
 
--- a/packages/core/tests/test_placement_at_size.py
+++ b/packages/core/tests/test_placement_at_size.py
@@ -77,6 +77,9 @@
     """
 
     LENGTH_S = 4.0
+    # As the home server does: all queued requests at intervals, the first ones at a completion.
+    DISPATCH_INTERVAL_S = 0.02
+    DISPATCHED_AT_COMPLETION = 8
 
     def __init__(self, seed, shedding):
         self.random = Random(seed)
@@ -95,11 +98,12 @@
         :returns: the simulated seconds that were played.
         """
         started_s = time.process_time()
-        arrival_s = 0.0
+        arrival_s = dispatch_s = 0.0
         while arrival_s < self.LENGTH_S and self.decision_s < limit_s:
             if self.completions and self.completions[0][0] <= arrival_s:
                 now_s, key, outcome = heapq.heappop(self.completions)
                 self.complete(key, outcome, now_s)
+                self.dispatch(now_s, self.DISPATCHED_AT_COMPLETION)
             else:
                 now_s = arrival_s
                 arrival_s += self.random.expovariate(REQUESTS_PER_S)
@@ -107,12 +111,17 @@
                 instance = self.random.randrange(INSTANCE_COUNT)
                 self.budgets[instance].record_first_try(now_s)
                 self.place(instance, now_s, now_s, ())
-            for request, reply in self.home.dispatch(now_s):
-                self.take(request.key, reply, now_s)
+            if now_s >= dispatch_s:
+                dispatch_s = now_s + self.DISPATCH_INTERVAL_S
+                self.dispatch(now_s, None)
             self.longest_queue = max(self.longest_queue, len(self.home))
             self.decision_s = time.process_time() - started_s
         return arrival_s
 
+    def dispatch(self, now_s, most):
+        for request, reply in self.home.dispatch(now_s, most=most):
+            self.take(request.key, reply, now_s)
+
     def place(self, instance, now_s, arrived_s, excluded):
         self.call_count += 1
         key = (f"i{instance}", self.call_count)
--- a/packages/daemon/src/tanagerreachd/gateway/_application.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_application.py
@@ -406,6 +406,7 @@
         return refusal
 
     def _retry_refused(self, request: GatewayRequest, use: RetryBudgetUse) -> RefusalError:
+        self._placement_client.report_refusal(request.service_name)
         refusal = self._tries_failed(request, None)
         refusal.inputs |= {
             "service": request.service_name,
--- a/packages/daemon/src/tanagerreachd/gateway/_home_server.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_home_server.py
@@ -26,8 +26,9 @@
 from .._logs import InstanceLog
 from ._target_directory import KnownTarget, TargetDirectory
 
-# Queued requests are dispatched at this interval, besides at each completion.
+# Queued requests are dispatched at this interval, and the first ones at each completion.
 DISPATCH_INTERVAL_S = 0.02
+DISPATCHED_AT_COMPLETION_MAX = 8
 # Added to a target heartbeat: targets of a data centre that returns to service may be cold, and
 # their entries show that only after a heartbeat. Until then they get no more than cold targets.
 RETURNED_DATA_CENTRE_COLD_S = 1.0
@@ -130,7 +131,7 @@
                 failing_before=round(event.failing_before, 3),
                 failing_after=round(event.failing_after, 3),
             )
-        self._dispatch_waiting(message.service, service, now_s)
+        self._dispatch_waiting(message.service, service, now_s, most=DISPATCHED_AT_COMPLETION_MAX)
 
     def record_refusal(self, name: str) -> None:
         """Record that an instance refused a request to a service without a placement request."""
@@ -269,7 +270,6 @@
             waiting.pop(key, None)
         reply.list_age_ms = self._list_age_ms()
         send_reply(reply)
-        self._dispatch_waiting(placement_request.service, service, now_s)
 
     def _add_service(self, name: str, now_s: float) -> ServicePlacement:
         service = self._services[name] = ServicePlacement(floor_share=self._floor_share)
@@ -287,8 +287,12 @@
         )
         return service
 
-    def _dispatch_waiting(self, name: str, service: ServicePlacement, now_s: float) -> None:
-        decisions = service.dispatch(now_s)
+    def _dispatch_waiting(
+        self, name: str, service: ServicePlacement, now_s: float, *, most: int | None = None
+    ) -> None:
+        if not service.has_pending_decisions:
+            return
+        decisions = service.dispatch(now_s, most=most)
         self._work.setdefault(name, _Work()).decision_s += _clock.now_s() - now_s
         for request, reply in decisions:
             send_reply = self._waiting[name].pop(request.key, None)
