Reject responses of targets that are cut in their head, or do not end

Cause: http.client takes the end of a connection for the end of a head, and urllib3 a cut chunk line '0' for the last chunk. So a response without a length was passed on as whole and empty, and a 421 or 503 with a cut head counted as 'not run'. Interim responses, trailers, chunk lines and bodies without a length were read without a limit, in a loop that never let another greenlet run.

The reader that all responses of a connection share now raises when a line that frames a response is cut, and when such lines exceed 64 KiB without a part of a body between them. A body without a length is read up to 64 KiB and then streamed; a foreign response is skipped up to 64 KiB. A stream yields between its parts and ends at most the idle timeout after its time limit.

Heads of callers are already strict (MessageClass in _http_server, by reading).

--- a/packages/daemon/src/tanagerreachd/_upstream.py
+++ b/packages/daemon/src/tanagerreachd/_upstream.py
@@ -14,6 +14,7 @@
 import urllib3
 from urllib3.exceptions import HTTPError
 
+from . import _clock
 from ._http_head import HeaderFields
 from ._peer_link import split_address
 from ._upstream_connection import MAX_IDLE_S, TargetConnection, TargetPool
@@ -129,7 +130,15 @@
     It is not a generator, since closing a generator that was never started runs none of its code.
     """
 
-    __slots__ = ("_connection", "_parts", "_pool", "_response", "_target")
+    __slots__ = (
+        "_connection",
+        "_ends_s",
+        "_first_part",
+        "_parts",
+        "_pool",
+        "_response",
+        "_target",
+    )
 
     def __init__(
         self,
@@ -137,8 +146,13 @@
         response: http.client.HTTPResponse,
         connection: TargetConnection,
         pool: TargetPool,
+        *,
+        ends_s: float,
+        first_part: bytes = b"",
     ) -> None:
         self._target = target
+        self._ends_s = ends_s
+        self._first_part = first_part
         # http.client does not report a body that ends early; urllib3 does.
         self._response = urllib3.HTTPResponse(
             body=response,
@@ -158,8 +172,13 @@
     def __next__(self) -> bytes:
         """Return the next part.
 
-        :raises IncompleteResponseError: when the response ends early.
+        :raises IncompleteResponseError: when the response ends early, or not in time.
         """
+        if _clock.now_s() >= self._ends_s:
+            self.close()
+            raise IncompleteResponseError(self._target, "the answer did not end in time")
+        # A target that sends without a pause would leave no time to other requests.
+        gevent.sleep(0)
         try:
             return next(self._parts)
         except StopIteration:
@@ -176,8 +195,9 @@
         """Close the connection if the response was not read completely."""
         connection, self._connection = self._connection, None
         if connection is not None:
-            connection.abandon()
+            # Closing a response flushes its reader, which the connection releases.
             self._response.close()
+            connection.abandon()
 
     def _finish(self) -> None:
         connection, self._connection = self._connection, None
@@ -186,6 +206,8 @@
 
     def _read_parts(self) -> Iterator[bytes]:
         response = self._response
+        if self._first_part:
+            yield self._first_part
         if response.chunked:
             yield from response.read_chunked(STREAM_CHUNK_BYTES, decode_content=False)
             return
@@ -208,7 +230,8 @@
     """Connection pools to all targets.
 
     :param connect_timeout_s: timeout for opening a connection.
-    :param idle_timeout_s: timeout between two parts of a response body.
+    :param idle_timeout_s: timeout between two parts of a response body. A streamed response may
+        also end this much after its time limit.
     :param dialect: headers and framing that targets use.
     """
 
@@ -275,7 +298,15 @@
         try:
             connection = _check_out(target, pool, request.max_idle_s)
             _write(connection, request, timer)
-            exchange = _Exchange(target, request, connection, pool, self._dialect)
+            exchange = _Exchange(
+                target,
+                request,
+                connection,
+                pool,
+                self._dialect,
+                # A response that began in time is delivered late rather than cut.
+                ends_s=_clock.now_s() + max(time_limit_s, 0.0) + self._idle_timeout_s,
+            )
             return exchange.receive(head_timer)
         except _HeadTimeoutReached:
             if connection is None:
@@ -365,7 +396,14 @@
 class _Exchange:
     """Receives the response to a request that was sent on a connection."""
 
-    __slots__ = ("_connection", "_dialect", "_pool", "_request", "_target")
+    __slots__ = (
+        "_connection",
+        "_dialect",
+        "_ends_s",
+        "_pool",
+        "_request",
+        "_target",
+    )
 
     def __init__(
         self,
@@ -374,7 +412,10 @@
         connection: TargetConnection,
         pool: TargetPool,
         dialect: TargetDialect,
+        *,
+        ends_s: float,
     ) -> None:
+        self._ends_s = ends_s
         self._target = target
         self._request = request
         self._connection = connection
@@ -388,11 +429,22 @@
         self._check_head(response, headers)
         body = None
         stream = None
-        if self._is_buffered(response, headers):
-            body = _read_whole(self._target, response)
+        first_part = b""
+        is_buffered = self._is_buffered(response, headers)
+        if is_buffered:
+            body, is_buffered = _read_up_to(self._target, response, MAX_BUFFERED_RESPONSE_BYTES)
+        if is_buffered:
             self._pool.check_in(self._connection)
         else:
-            stream = ResponseStream(self._target, response, self._connection, self._pool)
+            first_part, body = body or b"", None
+            stream = ResponseStream(
+                self._target,
+                response,
+                self._connection,
+                self._pool,
+                ends_s=self._ends_s,
+                first_part=first_part,
+            )
         return UpstreamResponse(
             status=response.status,
             reason=response.reason or "",
@@ -419,7 +471,8 @@
             is_last = skipped_count == self._dialect.max_foreign_responses
             if is_last or response.will_close or self._request.method == "HEAD":
                 break
-            _read_whole(self._target, response)
+            if not _read_up_to(self._target, response, MAX_BUFFERED_RESPONSE_BYTES)[1]:
+                break
         raise InvalidResponseError(self._target, "answered with another request's identifier")
 
     def _is_anonymous(self, status: int, headers: HeaderFields) -> bool:
@@ -501,11 +554,27 @@
     return request.method == "HEAD" or response.status in BODILESS_STATUSES
 
 
-def _read_whole(target: str, response: http.client.HTTPResponse) -> bytes:
+def _read_up_to(
+    target: str, response: http.client.HTTPResponse, most_bytes: int
+) -> tuple[bytes, bool]:
+    """Read a body up to a length.
+
+    :returns: the bytes that were read, and whether they are the whole body.
+    """
+    parts = []
+    left = most_bytes + 1
     try:
-        return response.read()
+        while left > 0 and (part := response.read(left)):
+            parts.append(part)
+            left -= len(part)
+        if left > 0:
+            # http.client does not report a body that is shorter than its length.
+            if response.length:
+                raise http.client.IncompleteRead(b"".join(parts), response.length)
+            return b"".join(parts), True
     except TRANSPORT_ERRORS as error:
         raise _incomplete(target, error) from error
+    return b"".join(parts), False
 
 
 def _incomplete(target: str, error: BaseException) -> IncompleteResponseError:
--- a/packages/daemon/src/tanagerreachd/_upstream_connection.py
+++ b/packages/daemon/src/tanagerreachd/_upstream_connection.py
@@ -13,6 +13,8 @@
 from ._sockets import send_all
 
 MAX_IDLE_CONNECTIONS = 64
+# Longest head of a response with its interim responses, and longest trailer section.
+MAX_FRAMING_BYTES = 64 * 1024
 # Many servers close connections that were idle for 5 s. A request sent just then fails, and a
 # non-idempotent one must not be retried, so idle connections are closed earlier.
 MAX_IDLE_S = 4.0
@@ -23,18 +25,60 @@
 METHODS_WITHOUT_BODY = frozenset({"GET", "HEAD", "DELETE", "TRACE", "OPTIONS", "CONNECT"})
 
 
+class FramingError(http.client.HTTPException):
+    """The lines that frame a response are cut or do not end."""
+
+
 class _SharedReader:
     """Buffered reader of a connection that successive responses share.
 
     A response of ``http.client`` closes its reader at its end, which would silently discard bytes
-    that arrived after it.
+    that arrived after it. ``http.client`` and urllib3 also take the end of a connection for the end
+    of a head, and read some lines without a limit; this reader raises :class:`FramingError`.
     """
 
-    __slots__ = ("_reader", "_socket")
+    __slots__ = ("_framing_bytes", "_reader", "_socket")
 
     def __init__(self, open_socket: Any) -> None:
         self._socket = open_socket
         self._reader = open_socket.makefile("rb")
+        # Bytes of lines since the last part of a body, or since the start of the response.
+        self._framing_bytes = 0
+
+    def begin_response(self) -> None:
+        """Expect the head of a response, or the end of the connection."""
+        self._framing_bytes = 0
+
+    def readline(self, limit: int = -1) -> bytes:
+        """Read a line of a head, or one that frames a chunk.
+
+        :raises FramingError: when the connection ends within the line or before a further one, or
+            when the lines without a part of a body in between are too long.
+        """
+        left = MAX_FRAMING_BYTES - self._framing_bytes
+        line = self._reader.readline(left if limit < 0 else min(limit, left))
+        is_whole = line.endswith(b"\n")
+        if not is_whole and len(line) == left:
+            raise FramingError(f"the head or a chunk's line exceeds {MAX_FRAMING_BYTES} bytes")
+        if not is_whole and len(line) != limit and (line or self._framing_bytes):
+            raise FramingError("the connection ended within a head or a chunk's line")
+        self._framing_bytes += len(line)
+        return line
+
+    def read(self, size: int = -1) -> bytes:
+        """Read a part of a body."""
+        self._framing_bytes = 0
+        return self._reader.read(size)
+
+    def read1(self, size: int = -1) -> bytes:
+        """Read what has arrived of a body."""
+        self._framing_bytes = 0
+        return self._reader.read1(size)
+
+    def readinto(self, buffer: Any) -> int:
+        """Read a part of a body into a buffer."""
+        self._framing_bytes = 0
+        return self._reader.readinto(buffer)
 
     def makefile(self, _mode: str) -> "_SharedReader":
         """Return the shared reader instead of a new one."""
@@ -93,6 +137,7 @@
         self._open_socket: Any = None
         self._reader: _SharedReader | None = None
         self._method = ""
+        self._response_count = 0
         self.idle_since_s = 0.0
         self._is_first_response_pending = False
 
@@ -123,6 +168,9 @@
         :raises OSError: when the connection fails.
         :raises http.client.HTTPException: when the received bytes are not an HTTP response.
         """
+        if self._reader is not None:
+            self._reader.begin_response()
+        self._response_count += 1
         if self._is_first_response_pending:
             self._is_first_response_pending = False
             return self.getresponse()
@@ -132,6 +180,11 @@
             self.close()
         return response
 
+    @property
+    def response_count(self) -> int:
+        """Number of responses whose heads were read, or begun to be read."""
+        return self._response_count
+
     def has_unread_data(self) -> bool:
         """Return whether bytes have arrived that belong to no response."""
         return self._reader is not None and self._reader.has_unread_data()
