Believe a refusal without an identifier on a new connection only

Cause: a refusal without an identifier was taken for the request's own in both dialects, also on a connection that had carried other requests. A refusal with an identifier was already matched, and the client closes a connection after each refusal, so the refusal has to come from another connection of the target.

Such a refusal now counts only as the first response on its connection; otherwise the request may have started.

A refusal on a new connection is believed as before.

--- a/packages/daemon/src/tanagerreachd/_upstream.py
+++ b/packages/daemon/src/tanagerreachd/_upstream.py
@@ -400,6 +400,7 @@
         "_connection",
         "_dialect",
         "_ends_s",
+        "_is_first_exchange",
         "_pool",
         "_request",
         "_target",
@@ -416,6 +417,7 @@
         ends_s: float,
     ) -> None:
         self._ends_s = ends_s
+        self._is_first_exchange = connection.response_count == 0
         self._target = target
         self._request = request
         self._connection = connection
@@ -479,7 +481,10 @@
         """Return whether a response without an identifier may be the request's own."""
         if headers.get(self._dialect.request_id_header) is not None:
             return False
-        return not self._dialect.requires_request_id or self._dialect.sheds_load(status, headers)
+        if self._dialect.sheds_load(status, headers):
+            # On a connection that carried other requests it may be the refusal of one of them.
+            return self._is_first_exchange and self._connection.response_count == 1
+        return not self._dialect.requires_request_id
 
     def _check_success(self, status: int, headers: HeaderFields) -> None:
         dialect = self._dialect
--- a/packages/daemon/tests/test_upstream_damaged.py
+++ b/packages/daemon/tests/test_upstream_damaged.py
@@ -8,7 +8,7 @@
 from gevent.server import StreamServer
 from scripted_target import ScriptedTarget
 from tanagerreachd._upstream import TargetDialect, UpstreamClient, UpstreamRequest
-from tanagerreachd._upstream_errors import UpstreamError
+from tanagerreachd._upstream_errors import LoadShedError, UpstreamError, WrongTargetError
 
 SEAL = b"Seal: x\r\n"
 ID = b"Request-Id: {id}\r\n"
@@ -51,6 +51,8 @@
     + b"Content-Length: 0\r\n\r\n",
 }
 OK = b"HTTP/1.1 200 OK\r\n" + ID + SEAL + b"Content-Length: 2\r\n\r\nok"
+SHED = b"HTTP/1.1 503 Full\r\nLoad-Shed: not-started\r\nContent-Length: 0\r\n\r\n"
+WRONG_TARGET = b"HTTP/1.1 421 Wrong\r\nLoad-Shed: not-started\r\nContent-Length: 0\r\n\r\n"
 
 
 class EndlessTarget:
@@ -143,6 +145,35 @@
                 self.send(client, self.target([HEADS["chunked"], body])), (200, b"okok")
             )
 
+    def test_refusal_repeated_on_a_kept_connection_is_believed(self):
+        """Guards against 'not run' for a request that runs, by the refusal of another request.
+
+        The refusal arrives before or after the request is sent, with or without an identifier, and
+        the response to the request follows, or the connection closes.
+        """
+        foreign = b"Request-Id: other\r\nContent-Length: 0"
+        for dialect, refusal in (("own", SHED), ("platform", SHED), ("platform", WRONG_TARGET)):
+            for repeated in (refusal, refusal.replace(b"Content-Length: 0", foreign)):
+                for ending in (OK, None):
+                    with self.subTest(dialect=dialect, repeated=repeated, ending=ending):
+                        client = self.client(dialect)
+                        target = self.target([OK], [repeated, 0.01, ending])
+                        self.assertEqual(self.send(client, target), (200, b"ok"))
+                        try:
+                            status, body = self.send(client, target, request_id="r2")
+                        except UpstreamError as error:
+                            self.assertTrue(error.may_have_started)
+                        else:
+                            self.assertEqual((status, body), (200, b"ok"))
+
+    def test_refusal_on_a_new_connection_is_believed(self):
+        """Guards against a refusal without an identifier that is never retried."""
+        for dialect in DIALECTS:
+            with self.assertRaises(LoadShedError):
+                self.send(self.client(dialect), self.target([SHED]))
+        with self.assertRaises(WrongTargetError):
+            self.send(self.client("platform"), self.target([WRONG_TARGET]))
+
     def test_endless_answer_ends(self):
         """Guards against bytes without end that stop or exhaust an instance."""
         chunked = HEADS["chunked"].replace(b"{id}", b"r1")
