Report failed requests that are not retried to their home as not served

Cause: a home counts the first failure of a retryable request only with its retry. When the instance did not retry it (a single try allowed, too little time left), the request never counted, and the share of unserved requests by which the home sends requests to idle targets was too low.

--- a/packages/core/src/tanagerreach_core/_placement.py
+++ b/packages/core/src/tanagerreach_core/_placement.py
@@ -235,16 +235,10 @@
     def _record_result(
         self, placement_request: PlacementRequest, outcome: Outcome, now_s: float
     ) -> None:
-        """Count a request as served or not, unless a retry may follow."""
-        is_failure = outcome in FAILURES or outcome is Outcome.SHED
-        if (
-            is_failure
-            and not placement_request.is_retry
-            and may_retry(outcome, is_retryable=placement_request.is_retryable)
-        ):
+        """Count a request as served or not, unless its instance may retry it."""
+        if outcome is Outcome.CANCELLED or awaits_retry(placement_request, outcome):
             return
-        if outcome is not Outcome.CANCELLED:
-            self._results.add(now_s, is_unserved=is_failure)
+        self._results.add(now_s, is_unserved=_is_failure(outcome))
 
     def digest(self, service: str, now_s: float) -> FailureDigest:
         """Return the targets' failure probabilities, for the home that may take over."""
@@ -462,6 +456,22 @@
         )
 
 
+def _is_failure(outcome: Outcome) -> bool:
+    return outcome in FAILURES or outcome is Outcome.SHED
+
+
+def awaits_retry(placement_request: PlacementRequest, outcome: Outcome) -> bool:
+    """Return whether a home counts a failed request only after its retry.
+
+    An instance that does not retry such a request has to report it as not served.
+    """
+    return (
+        _is_failure(outcome)
+        and not placement_request.is_retry
+        and may_retry(outcome, is_retryable=placement_request.is_retryable)
+    )
+
+
 def may_retry(outcome: Outcome, *, is_retryable: bool) -> bool:
     """Return whether a request may be sent again after a try with this outcome."""
     return outcome in NOT_STARTED or (is_retryable and outcome is not Outcome.CANCELLED)
--- a/packages/core/src/tanagerreach_core/placement.py
+++ b/packages/core/src/tanagerreach_core/placement.py
@@ -4,7 +4,7 @@
 from ._failure_estimator import FailureEstimator
 from ._instance_retry_budget import InstanceRetryBudget, RetryBudgetUse
 from ._peer_table import Peer, PeerTable
-from ._placement import PlacementEvent, ServicePlacement, may_retry
+from ._placement import PlacementEvent, ServicePlacement, awaits_retry, may_retry
 from ._start_time_fair_queue import StartTimeFairQueue, WaitingRequest
 from ._target_state import PlacementTarget
 from ._workspace_quota import WorkspaceQuota
@@ -22,5 +22,6 @@
     "StartTimeFairQueue",
     "WaitingRequest",
     "WorkspaceQuota",
+    "awaits_retry",
     "may_retry",
 ]
--- a/packages/daemon/src/tanagerreachd/gateway/_application.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_application.py
@@ -8,7 +8,7 @@
 
 from tanagerreach_core.config import Resolver, RouteMatch, Workspace
 from tanagerreach_core.messages import PlacementRequest, RefusalCause
-from tanagerreach_core.placement import RetryBudgetUse, may_retry
+from tanagerreach_core.placement import RetryBudgetUse, awaits_retry, may_retry
 from tanagerreach_core.traffic import Outcome
 
 from .. import _clock
@@ -336,6 +336,8 @@
             return response
         if self._may_retry(request, outcome):
             return self._next_try(request, response)
+        if awaits_retry(placement.placement_request, outcome):
+            self._placement_client.report_refusal(request.service_name)
         if response is not None:
             return response
         raise self._tries_failed(request, failure)
