--- a/packages/daemon/tests/scripted_target.py
+++ b/packages/daemon/tests/scripted_target.py
@@ -1,4 +1,4 @@
-"""Target that sends scripted bytes, for tests of the upstream client and the proxy."""
+"""Targets that send scripted or endless bytes, for tests of the clients of targets."""
 
 import contextlib
 import time
@@ -80,3 +80,35 @@
             if found.lower() == name:
                 return value
         return None
+
+
+class EndlessTarget:
+    """Sends a beginning once, and then the same bytes until the client closes.
+
+    :param pause_s: pause after each repetition; without one, many repetitions are sent at once.
+    """
+
+    def __init__(self, beginning, repeated, *, pause_s=0.0):
+        self.is_closed = False
+        self._beginning, self._repeated = beginning, repeated
+        self._pause_s = pause_s
+        self._server = StreamServer(("127.0.0.1", 0), self._serve)
+        self._server.start()
+        self.address = f"127.0.0.1:{self._server.server_port}"
+
+    def stop(self):
+        """Close the listener."""
+        self._server.stop(timeout=0)
+
+    def _serve(self, connection, _address):
+        connection.recv(READ_BYTES)
+        part = self._repeated
+        if not self._pause_s:
+            part *= 1 + READ_BYTES // len(self._repeated)
+        try:
+            connection.sendall(self._beginning)
+            while True:
+                connection.sendall(part)
+                gevent.sleep(self._pause_s)
+        except OSError:
+            self.is_closed = True
--- a/packages/daemon/tests/test_target_health.py
+++ b/packages/daemon/tests/test_target_health.py
@@ -1,7 +1,10 @@
 """Tests of health probes and announced target states, with the backend server stand-in."""
 
+import resource
 import unittest
 
+import gevent
+from scripted_target import EndlessTarget, ScriptedTarget
 from tanagerreach_core.config import Configuration, DataCentre, Resolver, Service, Target
 from tanagerreach_core.messages import (
     InstanceIncarnation,
@@ -12,7 +15,7 @@
 )
 from tanagerreach_standins.processes import ProcessGroup
 from tanagerreachd._service_homes import ServiceHomes
-from tanagerreachd._target_health import HealthClient
+from tanagerreachd._target_health import HEALTH_TIMEOUT_S, HealthClient
 
 SENDER = InstanceIncarnation(instance_id="i", incarnation=1)
 
@@ -116,5 +119,49 @@
         self.assertEqual(self.polled_addresses, ["127.0.0.1:2"])
 
 
+class EndlessHealthTest(unittest.TestCase):
+    """What a target sends as its health may be cut, or not end."""
+
+    OK = b"HTTP/1.1 200 OK\r\n"
+    # An endless response has to end well before the process would be killed for its memory.
+    MEMORY_LIMIT_KIB = 20 * 1024
+
+    def test_endless_health_response_stops_the_probes(self):
+        """Guards against a target whose health response ends neither by its size nor in time."""
+        chunked = self.OK + b"Transfer-Encoding: chunked\r\n\r\n"
+        cases = {
+            "status line": (b"", b"x"),
+            "interim responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+            "header lines": (self.OK, b"X: y\r\n"),
+            "body": (self.OK + b"\r\n", b"x"),
+            "chunks": (chunked, b"2\r\n  \r\n"),
+            "trailers": (chunked + b"0\r\n", b"X: y\r\n"),
+        }
+        for kind, (beginning, repeated) in cases.items():
+            for pause_s in (0.0, HEALTH_TIMEOUT_S / 5):
+                with self.subTest(kind=kind, pause_s=pause_s):
+                    target = EndlessTarget(beginning, repeated, pause_s=pause_s)
+                    self.addCleanup(target.stop)
+                    before_kib = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+                    with gevent.Timeout(2 * HEALTH_TIMEOUT_S, AssertionError("it does not end")):
+                        self.assertIsNone(HealthClient().probe(target.address))
+                    used_kib = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss - before_kib
+                    self.assertLess(used_kib, self.MEMORY_LIMIT_KIB)
+                    gevent.sleep(2 * pause_s + 0.05)
+                    self.assertTrue(target.is_closed)
+
+    def test_health_response_that_is_cut_is_believed(self):
+        """Guards against a state that is read from a response of which a part is missing."""
+        response = self.OK + b'Content-Length: 16\r\n\r\n{"warming":true}'
+        for length in range(len(response)):
+            with self.subTest(length=length):
+                target = ScriptedTarget([response[:length], None])
+                self.assertIsNone(HealthClient().probe(target.address))
+                target.stop()
+        target = ScriptedTarget([response])
+        self.addCleanup(target.stop)
+        self.assertTrue(HealthClient().probe(target.address).warming)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/daemon/tests/test_upstream_damaged.py
+++ b/packages/daemon/tests/test_upstream_damaged.py
@@ -5,8 +5,7 @@
 import unittest
 
 import gevent
-from gevent.server import StreamServer
-from scripted_target import ScriptedTarget
+from scripted_target import EndlessTarget, ScriptedTarget
 from tanagerreachd._upstream import TargetDialect, UpstreamClient, UpstreamRequest
 from tanagerreachd._upstream_errors import LoadShedError, UpstreamError, WrongTargetError
 
@@ -55,32 +54,6 @@
 WRONG_TARGET = b"HTTP/1.1 421 Wrong\r\nLoad-Shed: not-started\r\nContent-Length: 0\r\n\r\n"
 
 
-class EndlessTarget:
-    """Sends a beginning once, and then the same bytes until the client closes."""
-
-    def __init__(self, beginning, repeated):
-        self.is_closed = False
-        self._beginning, self._repeated = beginning, repeated
-        self._server = StreamServer(("127.0.0.1", 0), self._serve)
-        self._server.start()
-        self.address = f"127.0.0.1:{self._server.server_port}"
-
-    def stop(self):
-        """Close the listener."""
-        self._server.stop(timeout=0)
-
-    def _serve(self, connection, _address):
-        connection.recv(65536)
-        part = self._repeated * (1 + 65536 // len(self._repeated))
-        try:
-            connection.sendall(self._beginning)
-            while True:
-                connection.sendall(part)
-                gevent.sleep(0)
-        except OSError:
-            self.is_closed = True
-
-
 class DamagedResponseTest(unittest.TestCase):
     """What a target sends is a response to the request only if all of it arrived."""
 
