Give a home the part of a cold target's rate that its users have

A home now uses the part of the rate that matches the instances that use it, of those it hears, and none when a third or less of them do, so that the rate is not rounded up at many homes. Dead instances do not count: after a mass kill a cold target gets its whole rate.

Evidence: test_several_homes_overload_a_cold_target fails for 5 to 8 homes with the whole rate at each home, and passes with their parts.

Crash requests were looked at as well, by reading: a home refuses a request after three breaks that it saw or was told of. Digests go to the next home only, so homes that hear nothing of each other can allow three breaks each.

--- a/packages/core/src/tanagerreach_core/_peer_table.py
+++ b/packages/core/src/tanagerreach_core/_peer_table.py
@@ -239,23 +239,34 @@
         The others use an instance of higher preference, or do not receive this one's replies. Each
         instance counts at one home only, so the shares of all homes add up to one at most.
         """
+        users = self._user_count(rendezvous_key, self._heard_peers(now_s), now_s)
+        live = sum(1 for peer in self._peers.values() if self.is_live(peer, now_s))
+        counted = sum(1 for peer in self._peers.values() if not peer.is_leaving)
+        return min(1.0, users / (1 + max(counted, live)))
+
+    def user_share(self, rendezvous_key: bytes, now_s: float) -> float:
+        """Return the fraction that uses this instance as a key's home, of those it hears."""
+        heard = self._heard_peers(now_s)
+        return self._user_count(rendezvous_key, heard, now_s) / (1 + len(heard))
+
+    def _heard_peers(self, now_s: float) -> list[Peer]:
         heard_since_s = now_s - LENDER_TIMEOUT_INTERVALS * self.heartbeat_s
-        lenders = [peer for peer in self._peers.values() if peer.last_heard_s >= heard_since_s]
-        witnesses = Counter(name for peer in lenders for name in peer.suspected_names)
+        return [peer for peer in self._peers.values() if peer.last_heard_s >= heard_since_s]
+
+    def _user_count(self, rendezvous_key: bytes, heard: list[Peer], now_s: float) -> int:
+        heard_names = {peer.name for peer in heard}
+        witnesses = Counter(name for peer in heard for name in peer.suspected_names)
         preferred = {
             peer.name
             for peer in itertools.takewhile(
                 lambda peer: peer is not None, self._eligible_homes(rendezvous_key, now_s)
             )
-            if peer.last_heard_s >= heard_since_s or witnesses[peer.name] < WITNESSES_MIN
+            if peer.name in heard_names or witnesses[peer.name] < WITNESSES_MIN
         }
-        lent = preferred.issubset(self.suspected_names(now_s)) + sum(
+        return preferred.issubset(self.suspected_names(now_s)) + sum(
             self._own_name not in peer.suspected_names and preferred <= peer.suspected_names
-            for peer in lenders
+            for peer in heard
         )
-        live = sum(1 for peer in self._peers.values() if self.is_live(peer, now_s))
-        counted = sum(1 for peer in self._peers.values() if not peer.is_leaving)
-        return min(1.0, lent / (1 + max(counted, live)))
 
     def size(self) -> int:
         """Return the number of known instances, this one included."""
--- a/packages/core/src/tanagerreach_core/_placement.py
+++ b/packages/core/src/tanagerreach_core/_placement.py
@@ -89,6 +89,7 @@
         "_floor_share",
         "_idle_plan",
         "_latency",
+        "_user_share",
         "_queued_keys",
         "_ranking",
         "_queue",
@@ -112,6 +113,7 @@
         self._finished_replies: dict[tuple[str, int], PlacementReply] = {}
         self._results = RecentResults()
         self._slot_count = 0
+        self._user_share = 1.0
         self._lost_checked_at_s = float("-inf")
         self._latency = ServiceLatency()
 
@@ -148,7 +150,10 @@
             known = self._targets.get(name)
             if known is None or known.spec.address != spec.address:
                 self._targets[name] = TargetState(
-                    spec=spec, failure_estimator=FailureEstimator(now_s=now_s), joined_s=now_s
+                    spec=spec,
+                    failure_estimator=FailureEstimator(now_s=now_s),
+                    joined_s=now_s,
+                    user_share=self._user_share,
                 )
             else:
                 known.spec = spec
@@ -158,6 +163,15 @@
         self._idle_plan = None
         self._slot_count = sum(target.slot_count for target in wanted.values())
 
+    def set_user_share(self, user_share: float) -> None:
+        """Set the share of the instances that use this home, from 0 to 1."""
+        if user_share == self._user_share:
+            return
+        self._user_share = user_share
+        for state in self._targets.values():
+            state.user_share = user_share
+        self._ranking.invalidate()
+
     def place(
         self, key: tuple[str, int], placement_request: PlacementRequest, now_s: float
     ) -> PlacementReply:
@@ -426,10 +440,13 @@
     def _is_eligible(state: TargetState, placement_request: PlacementRequest, now_s: float) -> bool:
         """Return whether a request may be sent to a target, once it has room.
 
-        The instances that decide alone would exceed a cold target's rate together.
+        The instances that decide alone, and homes that few instances use, would exceed a cold
+        target's rate together.
         """
-        is_excluded = state.spec.name in placement_request.excluded
-        return not is_excluded and not (placement_request.is_decided_alone and state.is_cold(now_s))
+        if state.spec.name in placement_request.excluded:
+            return False
+        may_use_cold = state.may_use_cold and not placement_request.is_decided_alone
+        return may_use_cold or not state.is_cold(now_s)
 
     @staticmethod
     def _may_use(state: TargetState, request: WaitingRequest, now_s: float) -> bool:
--- a/packages/core/src/tanagerreach_core/_target_state.py
+++ b/packages/core/src/tanagerreach_core/_target_state.py
@@ -12,6 +12,8 @@
 COLD_RATE_SHARE = 0.8
 COLD_CONCURRENCY = 2
 COLD_WINDOW_S = 1.0
+# A home that fewer instances use leaves cold targets to others: at most two homes have more.
+COLD_USER_SHARE_MIN = 1 / 3
 # A request in flight for longer than this many times the mean latency raises its target's failure
 # probability.
 OVERDUE_RATIO = 4.0
@@ -79,6 +81,8 @@
     _latest_start_s: float = float("-inf")
     failed_s: float = float("-inf")
     """Time of the latest request that failed here."""
+    user_share: float = 1.0
+    """Share of the instances that use this home, and so of the rate that a cold target gets."""
 
     def _record_unreachable(self, requester: str, now_s: float) -> bool:
         """Record that an instance could not connect.
@@ -157,11 +161,17 @@
         started_count = self._started_count(now_s)
         if not self.is_cold(now_s):
             return len(self.in_flight) < self.spec.slot_count
-        if len(self.in_flight) >= COLD_CONCURRENCY:
+        if len(self.in_flight) >= COLD_CONCURRENCY or not self.may_use_cold:
             return False
         if self.spec.cold_rate_per_s <= 0:
             return True
-        return started_count < max(1, int(COLD_RATE_SHARE * self.spec.cold_rate_per_s))
+        most = int(COLD_RATE_SHARE * self.spec.cold_rate_per_s)
+        return started_count < max(1, round(self.user_share * most))
+
+    @property
+    def may_use_cold(self) -> bool:
+        """Whether enough instances use this home for requests to targets while they are cold."""
+        return self.user_share > COLD_USER_SHARE_MIN
 
     @property
     def is_untried(self) -> bool:
--- a/packages/core/tests/test_placement_at_size.py
+++ b/packages/core/tests/test_placement_at_size.py
@@ -427,6 +427,32 @@
                 starts += home.place(key, placement_request, 0.0).target == cold.name
         self.assertLessEqual(starts, 1.5 * cold_rate_per_s + 8)
 
+    def test_several_homes_overload_a_cold_target(self):
+        """Guards against homes that each use the whole rate of a cold target.
+
+        Each home is used by an equal part of the fleet, and has too many requests for its warm
+        target. The bound is the platform's.
+        """
+        cold_rate_per_s = 3.8
+        for home_count in range(1, 9):
+            with self.subTest(home_count=home_count):
+                starts = 0
+                for number in range(home_count):
+                    home = ServicePlacement(floor_share=0.7)
+                    warm, cold = make_target(0), make_target(1, 100.0, cold_rate_per_s)
+                    home.configure([warm, cold], 0.0)
+                    home.set_user_share(1 / home_count)
+                    for call_id in range(60):
+                        now_s = call_id / 60
+                        key = (f"i{number}", call_id)
+                        reply = home.place(key, make_placement_request(call_id, number), now_s)
+                        if reply.target == cold.name:
+                            starts += 1
+                            home.complete(key, Outcome.SUCCESS, 0.3, b"", now_s)
+                self.assertLessEqual(starts, 1.5 * cold_rate_per_s + 8)
+                if home_count < 3:
+                    self.assertGreater(starts, 0)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/daemon/src/tanagerreachd/gateway/_home_server.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_home_server.py
@@ -20,7 +20,11 @@
     ServicePlacement,
     WorkspaceQuota,
 )
-from tanagerreach_core.rights import WorkspaceLimit, workspace_rendezvous_key
+from tanagerreach_core.rights import (
+    WorkspaceLimit,
+    service_rendezvous_key,
+    workspace_rendezvous_key,
+)
 
 from .. import _clock
 from .._logs import InstanceLog
@@ -29,6 +33,7 @@
 # Queued requests are dispatched at this interval, and the first ones at each completion.
 DISPATCH_INTERVAL_S = 0.02
 DISPATCHED_AT_COMPLETION_MAX = 8
+USER_SHARE_INTERVAL_S = 0.2
 # Added to a target heartbeat: targets of a data centre that returns to service may be cold, and
 # their entries show that only after a heartbeat. Until then they get no more than cold targets.
 RETURNED_DATA_CENTRE_COLD_S = 1.0
@@ -93,6 +98,7 @@
         self._received_digests: dict[str, tuple[FailureDigest, float]] = {}
         self._returned_s: dict[str, float] = {}
         self._out_data_centres: frozenset[str] = frozenset()
+        self._user_shares_updated_s = float("-inf")
 
     def place(
         self, requester: str, placement_request: PlacementRequest, send_reply: ReplyCallback
@@ -213,11 +219,23 @@
     def run(self) -> None:
         """Dispatch queued requests once, then wait for the next interval."""
         now_s = _clock.now_s()
+        if now_s - self._user_shares_updated_s >= USER_SHARE_INTERVAL_S:
+            self._update_user_shares(now_s)
         for name, service in list(self._services.items()):
             if service.has_pending_decisions:
                 self._dispatch_waiting(name, service, now_s)
         gevent.sleep(DISPATCH_INTERVAL_S)
 
+    def _update_user_shares(self, now_s: float) -> None:
+        """Update which part of the fleet uses this instance, for each service that it places."""
+        self._user_shares_updated_s = now_s
+        for name, requested_s in self._last_request_s.items():
+            if now_s - requested_s < HOME_ACTIVE_S:
+                self._set_user_share(name, self._services[name], now_s)
+
+    def _set_user_share(self, name: str, service: ServicePlacement, now_s: float) -> None:
+        service.set_user_share(self._peer_table.user_share(service_rendezvous_key(name), now_s))
+
     def report_load(self) -> None:
         """Log the load of each service that was homed here since the last report."""
         now_s = _clock.now_s()
@@ -275,6 +293,7 @@
     def _add_service(self, name: str, now_s: float) -> ServicePlacement:
         service = self._services[name] = ServicePlacement(floor_share=self._floor_share)
         self._waiting[name] = {}
+        self._set_user_share(name, service, now_s)
         service.configure(self._targets(name, now_s), now_s)
         received_digest = self._received_digests.get(name)
         digest_age_s = None if received_digest is None else now_s - received_digest[1]
