Keep idle targets in use before many requests are not served

Cause, by the trace in the postmortem: the home prefers the latest successes, so idle targets fall behind, also healthy ones. All requests in flight were at 46 of 113 targets, and 16 that crashed lost 37 requests at once. The platform looks back over the 2 s before such a crash. Idle targets were used from 8% unserved requests only, and those that had failed counted again after 3.5 s, on the platform after 2 s. The platform does not count impaired targets, which the home cannot tell and which are mostly in use, so of the targets that count a larger share was idle.

Ruled out: a larger margin (0.2) and counting all failed targets after 2 s, each of which sends too many requests to failing targets of a small site (test_refusals_send_few_requests_to_failing_targets).

--- a/packages/core/src/tanagerreach_core/_placement.py
+++ b/packages/core/src/tanagerreach_core/_placement.py
@@ -28,7 +28,7 @@
 from ._start_time_fair_queue import StartTimeFairQueue, WaitingRequest
 from ._target_ranking import HEALTHY_FAILURE_PROBABILITY_MAX, TargetRanking
 from ._target_state import PlacedRequest, PlacementTarget, TargetState
-from ._target_use import UNSERVED_SHARE_MAX, IdleTargetPlan
+from ._target_use import HEALTHY_UNSERVED_SHARE_MAX, UNSERVED_SHARE_MAX, IdleTargetPlan
 
 MS_PER_S = 1000.0
 PERCENT = 100
@@ -414,9 +414,13 @@
         is_evaluated = self._ranking.evaluate(self.service_time_s, now_s)
         if not self._ranking:
             return None
-        if self._results.unserved_share(now_s) > UNSERVED_SHARE_MAX:
+        unserved_share = self._results.unserved_share(now_s)
+        if unserved_share > HEALTHY_UNSERVED_SHARE_MAX:
             if is_evaluated or self._idle_plan is None:
-                self._idle_plan = self._plan_idle_targets(now_s)
+                is_floor_due = unserved_share > UNSERVED_SHARE_MAX
+                self._idle_plan = self._plan_idle_targets(
+                    self._floor_share if is_floor_due else 0.0, now_s
+                )
             idle = self._idle_plan.take(
                 lambda state: self._may_use(state, request, now_s),
                 is_retryable=request.placement_request.is_retryable,
@@ -428,11 +432,11 @@
             self._idle_plan = None
         return self._ranking.best(request, self._failure_probability_limit(request, now_s), now_s)
 
-    def _plan_idle_targets(self, now_s: float) -> IdleTargetPlan:
+    def _plan_idle_targets(self, floor_share: float, now_s: float) -> IdleTargetPlan:
         return IdleTargetPlan(
             self._targets.values(),
             failure_probability=lambda state: self._ranking.failure_probability(state.spec.name),
-            floor_share=self._floor_share,
+            floor_share=floor_share,
             now_s=now_s,
         )
 
