--- a/packages/core/src/tanagerreach_core/_peer_table.py
+++ b/packages/core/src/tanagerreach_core/_peer_table.py
@@ -56,7 +56,7 @@
     store_reachable: bool = True
     configuration_version: int = 0
     suspected_names: frozenset[str] = frozenset()
-    """Instances that did not reply to this peer, which it uses as homes no more."""
+    """Instances that did not reply to this peer, so that it does not use them as homes."""
 
 
 class PeerTable:
