Share the breaks of retryable requests between all instances

Three are allowed (BUDGET).

Each home allowed three breaks of its own, since a break was known only to the home that placed the try, and a digest told only the next home. Counts cannot be added up over homes either, as the same break would count several times.

A break is now identified by the instance that saw it and its call id, so that sets of breaks are merged whatever way they arrive. Instances report breaks of retryable requests that no response has followed in their heartbeats for 2.5 s, and a response that ends a streak that others know. Requests that are not retryable stay with their home: no instance retries them.

A heartbeat to all peers is now built once instead of once a peer.

Ruled out: notices to the first homes only, as instances that decide alone would not get them; reports of all breaks, most of which a retry answers.

--- a/packages/core/src/tanagerreach_core/_placement.py
+++ b/packages/core/src/tanagerreach_core/_placement.py
@@ -81,6 +81,7 @@
 
     :param floor_share: share of the targets that has to be in use while many requests are not
         served, from 0 to 1.
+    :param crashes: requests that may crash targets, by default none that other homes know.
     """
 
     __slots__ = (
@@ -100,9 +101,9 @@
         "_targets",
     )
 
-    def __init__(self, *, floor_share: float) -> None:
+    def __init__(self, *, floor_share: float, crashes: CrashStreaks | None = None) -> None:
         self._floor_share = floor_share
-        self._crashes = CrashStreaks()
+        self._crashes = CrashStreaks() if crashes is None else crashes
         self._queue = StartTimeFairQueue()
         self._targets: dict[str, TargetState] = {}
         self._placed: dict[tuple[str, int], PlacedRequest] = {}
@@ -225,7 +226,7 @@
         placed = self._placed.pop(key, None)
         if placed is None:
             return None
-        self._crashes.observe(fingerprint, outcome, now_s)
+        self._crashes.observe(fingerprint, key, outcome, now_s)
         self._record_result(placed.request.placement_request, outcome, now_s)
         state = self._targets.get(placed.target)
         if state is None:
--- a/packages/core/src/tanagerreach_core/_placement_messages.py
+++ b/packages/core/src/tanagerreach_core/_placement_messages.py
@@ -10,6 +10,16 @@
 
 from ._outcomes import Outcome
 
+RESPONDED = 0
+"""Call id of a :data:`CrashReport` that a target responded to the request."""
+
+BrokenTry = tuple[str, int]
+"""Instance that sent a try whose connection broke, and the call id of its placement."""
+CrashStreak = tuple[bytes, list[BrokenTry], int]
+"""Fingerprint of a request, its tries that broke in a row, milliseconds since the latest one."""
+CrashReport = tuple[bytes, int, int]
+"""Fingerprint of a request, call id of a try that broke or ``RESPONDED``, milliseconds since."""
+
 
 class PlacementState(IntEnum):
     """State of a request, in the reply of a service's home."""
@@ -129,7 +139,8 @@
     ``store_reachable`` states whether the store replies to the sender. ``configuration_version`` is
     the store's revision of the operators' state that the sender has in force. ``known_peers`` is
     sent to an instance that the sender did not know before. ``suspected_names`` are instances that
-    did not reply to the sender.
+    did not reply to the sender. ``crash_reports`` are the sender's latest observations of
+    requests that may crash targets.
     """
 
     address: str
@@ -140,20 +151,21 @@
     store_reachable: bool
     known_peers: dict[str, str] = msgspec.field(default_factory=dict)
     suspected_names: list[str] = msgspec.field(default_factory=list)
+    crash_reports: list[CrashReport] = msgspec.field(default_factory=list)
 
 
 class FailureDigest(msgspec.Struct, kw_only=True, array_like=True, tag=27):
     """Sends a home's estimates to the instance that would be the service's next home.
 
     ``failure_probabilities`` has, by target, the probability that it fails requests now, and the
-    milliseconds since its latest outcome. ``crash_streaks`` has, by fingerprint of the request, the
-    number of connections that broke in a row, and the milliseconds since the latest one.
+    milliseconds since its latest outcome. ``crash_streaks`` are the latest requests that broke
+    connections.
     """
 
     service: str
     service_time_ms: int
     failure_probabilities: dict[str, tuple[float, int]]
-    crash_streaks: list[tuple[bytes, int, int]] = msgspec.field(default_factory=list)
+    crash_streaks: list[CrashStreak] = msgspec.field(default_factory=list)
 
 
 class RefusalNotice(msgspec.Struct, kw_only=True, array_like=True, tag=28):
--- a/packages/daemon/src/tanagerreachd/gateway/_home_server.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_home_server.py
@@ -15,6 +15,7 @@
     QuotaRequest,
 )
 from tanagerreach_core.placement import (
+    CrashStreaks,
     PeerTable,
     PlacementTarget,
     ServicePlacement,
@@ -66,6 +67,7 @@
     :param is_current: whether the directory is current.
     :param list_age_ms: age of the directory, for logs.
     :param floor_share: minimum share of a service's targets to keep in use, from 0 to 1.
+    :param crashes: requests that may crash targets, as this instance knows them.
     """
 
     def __init__(
@@ -79,8 +81,10 @@
         list_age_ms: Callable[[], int],
         floor_share: float,
         heartbeat_s: float,
+        crashes: CrashStreaks,
         log: InstanceLog,
     ) -> None:
+        self._crashes = crashes
         self._resolver = resolver
         self._peer_table = peer_table
         self._directory = directory
@@ -291,7 +295,9 @@
         send_reply(reply)
 
     def _add_service(self, name: str, now_s: float) -> ServicePlacement:
-        service = self._services[name] = ServicePlacement(floor_share=self._floor_share)
+        service = self._services[name] = ServicePlacement(
+            floor_share=self._floor_share, crashes=self._crashes
+        )
         self._waiting[name] = {}
         self._set_user_share(name, service, now_s)
         service.configure(self._targets(name, now_s), now_s)
--- a/packages/daemon/src/tanagerreachd/gateway/_instance.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_instance.py
@@ -21,7 +21,7 @@
     QuotaRequest,
     RefusalNotice,
 )
-from tanagerreach_core.placement import PeerTable
+from tanagerreach_core.placement import CrashStreaks, PeerTable
 from tanagerreach_core.rights import service_rendezvous_key
 
 from .. import _clock
@@ -173,6 +173,7 @@
         self._targets.set_peer_reader(lambda: self._peer_states.read(TARGET_PATH))
 
     def _build_homes(self) -> None:
+        self._crashes = CrashStreaks(own_name=self._settings.instance_name)
         self._homes = HomeServer(
             resolver=lambda: self._resolver,
             peer_table=self._peer_table,
@@ -182,6 +183,7 @@
             list_age_ms=lambda: self._targets.age_ms,
             floor_share=self._settings.floor_share,
             heartbeat_s=self._settings.target_heartbeat_s,
+            crashes=self._crashes,
             log=self._log,
         )
         self._retry_budgets = RetryBudgets(
@@ -194,6 +196,7 @@
             peer_table=self._peer_table,
             calls=self._calls,
             homes=self._homes,
+            crashes=self._crashes,
             on_home_lost=lambda home: self._send_heartbeat(home.address, {}),
             log=self._log,
         )
@@ -360,22 +363,25 @@
                 self._link.send(next_home.address, digest)
 
     def _send_heartbeats(self) -> None:
+        heartbeat = self._heartbeat({})
         for peer in self._peer_table.peers:
-            self._send_heartbeat(peer.address, {})
+            self._link.send(peer.address, heartbeat)
 
     def _send_heartbeat(self, address: str, known_peers: dict[str, str]) -> None:
-        self._link.send(
-            address,
-            Heartbeat(
-                address=self._peer_address(self._settings.host),
-                data_centre=self._settings.data_centre,
-                is_leaving=self._is_leaving,
-                is_serving=self._resolver is not None,
-                configuration_version=self._operators.version,
-                store_reachable=self._targets.store_reachable,
-                known_peers=known_peers,
-                suspected_names=self._peer_table.suspected_names(_clock.now_s()),
-            ),
+        self._link.send(address, self._heartbeat(known_peers))
+
+    def _heartbeat(self, known_peers: dict[str, str]) -> Heartbeat:
+        now_s = _clock.now_s()
+        return Heartbeat(
+            address=self._peer_address(self._settings.host),
+            data_centre=self._settings.data_centre,
+            is_leaving=self._is_leaving,
+            is_serving=self._resolver is not None,
+            configuration_version=self._operators.version,
+            store_reachable=self._targets.store_reachable,
+            known_peers=known_peers,
+            suspected_names=self._peer_table.suspected_names(now_s),
+            crash_reports=self._crashes.reports(now_s),
         )
 
     def _on_message(
@@ -418,6 +424,7 @@
         peer.store_reachable = message.store_reachable
         peer.configuration_version = message.configuration_version
         self._peer_table.record_suspected(name, message.suspected_names)
+        self._crashes.merge(name, message.crash_reports, now_s)
         if message.known_peers:
             self._add_members(message.known_peers)
         self._operators.record_peer_version(message.configuration_version)
--- a/packages/daemon/src/tanagerreachd/gateway/_placement_client.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_placement_client.py
@@ -14,7 +14,7 @@
     QuotaRequest,
     RefusalNotice,
 )
-from tanagerreach_core.placement import Peer, PeerTable
+from tanagerreach_core.placement import CrashStreaks, Peer, PeerTable
 from tanagerreach_core.rights import service_rendezvous_key, workspace_rendezvous_key
 from tanagerreach_core.traffic import Outcome
 
@@ -55,6 +55,7 @@
     """Gets placements and quota from the homes, or from this instance when no home replies.
 
     :param own_name: this instance's name.
+    :param crashes: requests that may crash targets, as this instance knows them.
     :param on_home_lost: called when a home did not reply, to tell it that it is no longer used.
     """
 
@@ -65,6 +66,7 @@
         peer_table: PeerTable,
         calls: PeerCalls,
         homes: HomeServer,
+        crashes: CrashStreaks,
         on_home_lost: Callable[[Peer], None],
         log: InstanceLog,
     ) -> None:
@@ -73,6 +75,7 @@
         self._peer_table = peer_table
         self._calls = calls
         self._homes = homes
+        self._crashes = crashes
         self._log = log
 
     def acquire(self, make_request: Callable[[int, bool], PlacementRequest]) -> Placement:
@@ -113,15 +116,23 @@
 
     def complete(self, placement: Placement, outcome: Outcome, latency_s: float) -> None:
         """Report the completion of a request to the home that placed it."""
+        placement_request = placement.placement_request
+        self._crashes.observe_own(
+            placement_request.fingerprint,
+            placement_request.call_id,
+            outcome,
+            _clock.now_s(),
+            is_retryable=placement_request.is_retryable,
+        )
         self._report_completion(
             placement.home,
             PlacementCompletion(
-                call_id=placement.placement_request.call_id,
-                service=placement.placement_request.service,
+                call_id=placement_request.call_id,
+                service=placement_request.service,
                 target=placement.reply.target,
                 outcome=outcome,
                 latency_ms=int(1000 * latency_s),
-                fingerprint=placement.placement_request.fingerprint,
+                fingerprint=placement_request.fingerprint,
             ),
         )
 
--- a/packages/daemon/tests/test_gateway_homes.py
+++ b/packages/daemon/tests/test_gateway_homes.py
@@ -5,7 +5,7 @@
 import gevent
 from tanagerreach_core.config import Configuration, DataCentre, Limit, Resolver, Service, Workspace
 from tanagerreach_core.messages import PlacementRequest, PlacementState, QuotaRequest
-from tanagerreach_core.placement import PeerTable
+from tanagerreach_core.placement import CrashStreaks, PeerTable
 from tanagerreachd.gateway import ListedTarget, Listing, StoredItem
 from tanagerreachd.gateway._home_server import HomeServer
 from tanagerreachd.gateway._target_directory import RETURN_GRACE_S, TargetDirectory
@@ -75,6 +75,7 @@
             list_age_ms=lambda: 0,
             floor_share=0.7,
             heartbeat_s=1.5,
+            crashes=CrashStreaks(),
             log=SilentLog(),
         )
 
