Send no request whose deadline passed while its process was frozen

Cause: the time limit of a try is a timer. A process that is stopped by SIGSTOP between its last check and its send continues with the send when it resumes, 9.5 s later, and the timer expires only when its greenlet yields. Python needs a tenth of a request's processor time for this part, so that a stop hits it now and then.

The connection now compares the clock with the deadline before the first byte. A request that is too late was not sent, and counts as not started.

Evidence: test_request_is_sent_after_its_deadline blocks the process while it builds the request, on a new and on a reused connection; it failed before.

Ruled out: the check against the list of targets before the send, which is done and was true when it was done.

--- a/packages/daemon/src/tanagerreachd/_upstream.py
+++ b/packages/daemon/src/tanagerreachd/_upstream.py
@@ -17,7 +17,7 @@
 from . import _clock
 from ._http_head import HeaderFields
 from ._peer_link import split_address
-from ._upstream_connection import MAX_IDLE_S, TargetConnection, TargetPool
+from ._upstream_connection import MAX_IDLE_S, NotSentError, TargetConnection, TargetPool
 from ._upstream_errors import (
     BrokenConnectionError,
     ConnectFailedError,
@@ -295,9 +295,11 @@
             timer.start()
         pool = self._pool(address)
         connection = None
+        # The timer of a process that was frozen expires only after it has continued for a while.
+        send_by_s = _clock.now_s() + time_limit_s if request.is_limited_from_start else None
         try:
             connection = _check_out(target, pool, request.max_idle_s)
-            _write(connection, request, timer)
+            _write(connection, request, timer, send_by_s)
             exchange = _Exchange(
                 target,
                 request,
@@ -322,6 +324,9 @@
             raise ResponseTimeoutError(
                 target, f"no whole answer within {time_limit_s:.3f} s"
             ) from None
+        except NotSentError:
+            connection.abandon()
+            raise ConnectFailedError(target, "not sent before the deadline") from None
         except BaseException as error:
             if connection is not None:
                 connection.abandon()
@@ -377,13 +382,20 @@
         raise ConnectFailedError(target, f"connection failed ({type(error).__name__})") from error
 
 
-def _write(connection: TargetConnection, request: UpstreamRequest, timer: gevent.Timeout) -> None:
+def _write(
+    connection: TargetConnection,
+    request: UpstreamRequest,
+    timer: gevent.Timeout,
+    send_by_s: float | None,
+) -> None:
     """Send the request; a timer that is not yet running starts after the last part of the body."""
     body = request.body
     if not request.is_limited_from_start:
         body = _start_timer_after(body, timer)
     try:
-        connection.send_request(request.method, request.target_path, request.headers, body)
+        connection.send_request(
+            request.method, request.target_path, request.headers, body, send_by_s=send_by_s
+        )
     except (BrokenPipeError, ConnectionResetError):
         connection.shorten_timeout(EARLY_RESPONSE_WAIT_S)
 
--- a/packages/daemon/src/tanagerreachd/_upstream_connection.py
+++ b/packages/daemon/src/tanagerreachd/_upstream_connection.py
@@ -10,6 +10,7 @@
 
 import gevent.socket
 
+from . import _clock
 from ._sockets import send_all
 
 MAX_IDLE_CONNECTIONS = 64
@@ -29,6 +30,10 @@
     """The lines that frame a response are cut or do not end."""
 
 
+class NotSentError(Exception):
+    """The time until which a request may be sent has passed, and nothing of it was sent."""
+
+
 class _SharedReader:
     """Buffered reader of a connection that successive responses share.
 
@@ -140,6 +145,7 @@
         self._response_count = 0
         self.idle_since_s = 0.0
         self._is_first_response_pending = False
+        self._send_by_s: float | None = None
 
     def connect(self) -> None:
         """Open the connection.
@@ -195,8 +201,15 @@
         target_path: str,
         headers: Mapping[str, str],
         body: bytes | Iterable[bytes] | None,
+        *,
+        send_by_s: float | None = None,
     ) -> None:
-        """Send a request; a missing Host header and body framing are added."""
+        """Send a request; a missing Host header and body framing are added.
+
+        :param send_by_s: latest time of the first byte.
+        :raises NotSentError: when that time has passed.
+        """
+        self._send_by_s = send_by_s
         names = {name.lower() for name in headers}
         self._method = method
         self._is_first_response_pending = True
@@ -212,9 +225,13 @@
         """Send a part of a request.
 
         :raises OSError: when the connection fails or takes nothing for too long.
+        :raises NotSentError: when it is too late for the first part.
         """
         if self.sock is None:
             raise http.client.NotConnected
+        send_by_s, self._send_by_s = self._send_by_s, None
+        if send_by_s is not None and _clock.now_s() >= send_by_s:
+            raise NotSentError
         send_all(self.sock, data)
 
     def _put_body_length(self, method: str, body: bytes | Iterable[bytes] | None) -> bool:
--- a/packages/daemon/tests/test_upstream.py
+++ b/packages/daemon/tests/test_upstream.py
@@ -109,6 +109,36 @@
         self.assertEqual(self.send(target).body, b"ok")
         self.assertIn(f"Host: {target.address}".encode(), target.heads[0])
 
+    def test_request_is_sent_after_its_deadline(self):
+        """Guards against a process that was frozen before it sent, and whose timers are late."""
+
+        class FreezingHeaders(dict):
+            def items(self):
+                time.sleep(0.2)
+                return super().items()
+
+        for is_reused in (False, True):
+            with self.subTest(is_reused=is_reused):
+                target = self.target([OK])
+                if is_reused:
+                    self.send(target)
+                received_count = len(target.heads)
+                with self.assertRaises(ConnectFailedError):
+                    self.client.send(
+                        target="t",
+                        address=target.address,
+                        request=UpstreamRequest(
+                            method="GET",
+                            target_path="/late",
+                            headers=FreezingHeaders({"Request-Id": "r2"}),
+                            body=None,
+                            request_id="r2",
+                        ),
+                        time_limit_s=0.1,
+                    )
+                gevent.sleep(0.05)
+                self.assertEqual(len(target.heads), received_count)
+
     def test_connection_opens_without_resolver_threads(self):
         """Guards against a wait for gevent's resolver threads at each new connection."""
         resolver = gevent.get_hub().resolver
