--- a/tests/fault_case.py
+++ b/tests/fault_case.py
@@ -23,6 +23,7 @@
 NO_FAULTS = {}
 CALL_TIMEOUT_S = 4.0
 JOIN_TIMEOUT_S = 15.0
+LOG_TAIL_CHARACTERS = 20_000
 
 
 def boot_time_s():
@@ -170,6 +171,21 @@
 
     instance_count = 3
 
+    def __init__(self, methodName="runTest"):  # noqa: N803
+        super().__init__(methodName)
+        self._test_method = getattr(self, methodName)
+        setattr(self, methodName, self._run_printing_logs)
+
+    def _run_printing_logs(self):
+        """Run the test, and print what the instances logged if it fails, as that may not recur."""
+        try:
+            self._test_method()
+        except Exception:
+            print(f"{self.id()} failed: {self.summary()}")
+            for instance in self.fleet.instances:
+                print(f"-- {instance.name}\n{instance.process.log()[-LOG_TAIL_CHARACTERS:]}")
+            raise
+
     @classmethod
     def make_fleet(cls):
         return RelayedFleet(group=cls.group, settings=cls.settings)
--- a/tests/test_rate_faults.py
+++ b/tests/test_rate_faults.py
@@ -62,7 +62,7 @@
         self.assertLessEqual(excess, 0, f"{len(started)} of {len(self.sent)} requests admitted")
         span_s = max(started) - min(started)
         self.assertGreater(len(self.sent), MIN_DEMAND_RATIO * RATE_PER_S * span_s, self.summary())
-        self.assertGreater(len(started), BURST)
+        self.assertGreater(len(started), BURST, self.summary())
 
     def test_fleet_without_faults(self):
         """Guards against a rate limit that each instance enforces on its own."""
