Bound the crash requests of a digest to what fits into a datagram

A digest of 300 targets and 64 crash requests with three broken tries each exceeds a datagram, so that sending it fails and the next home learns nothing.

Half as many crash requests are sent. test_fullest_digest_exceeds_a_datagram fails with 64 and passes with 32.

--- a/packages/core/src/tanagerreach_core/_placement.py
+++ b/packages/core/src/tanagerreach_core/_placement.py
@@ -48,7 +48,7 @@
 FINISHED_REPLIES_MAX = 512
 # A digest has to fit into one datagram; it keeps the targets that are most likely to fail.
 DIGEST_TARGETS_MAX = 300
-DIGEST_STREAKS_MAX = 64
+DIGEST_STREAKS_MAX = 32
 
 
 @dataclass(slots=True, kw_only=True)
--- a/packages/daemon/tests/test_peer_codec.py
+++ b/packages/daemon/tests/test_peer_codec.py
@@ -16,6 +16,8 @@
     TokenDemand,
     TokenRequest,
 )
+from tanagerreach_core.placement import CrashStreaks, PlacementTarget, ServicePlacement
+from tanagerreach_core.traffic import Outcome
 from tanagerreachd._peer_codec import (
     MAC_BYTES,
     MAX_DATAGRAM_BYTES,
@@ -54,9 +56,38 @@
     return Envelope(sender=SENDER, counter=1, message=message)
 
 
+def fullest_digest():
+    """Return the digest of a home of many targets, most of whose requests broke connections."""
+    crashes = CrashStreaks(own_name="front-data-centre-a-100")
+    home = ServicePlacement(floor_share=0.7, crashes=crashes)
+    home.configure(
+        [
+            PlacementTarget(
+                name=f"target-{number:012}",
+                address=f"10.0.{number % 256}.1:80",
+                data_centre="a",
+                slot_count=4,
+            )
+            for number in range(1000)
+        ],
+        0.0,
+    )
+    for number in range(1000):
+        fingerprint = number.to_bytes(16, "big")
+        for call_id in range(3):
+            key = (f"front-data-centre-a-{100 + call_id}", 2**31 + call_id)
+            crashes.observe(fingerprint, key, Outcome.BROKEN_BEFORE_HEAD, 0.0)
+    return home.digest("service", 50.0)
+
+
 class PeerCodecTest(unittest.TestCase):
     """A message that is misread, or accepted from outside the fleet, could grant rights twice."""
 
+    def test_fullest_digest_exceeds_a_datagram(self):
+        """Guards against a home whose next home learns nothing, as the digest cannot be sent."""
+        datagram = PeerCodec(secret=SECRET).encode(envelope(fullest_digest()))
+        self.assertLessEqual(len(datagram), MAX_DATAGRAM_BYTES)
+
     def setUp(self):
         self.codec = PeerCodec(secret=SECRET)
 
