Use all idle targets at once when many requests are lost at once

Cause: after a crash the home used idle targets up to its own count only, also with the time that was left of the platform's span.

When more than 9% of the requests are not served, and a third of these were lost within a quarter of a second, all targets that may have recovered now get a request at once. A steady share, as by requests over a quota, does not do so.

Ruled out: the same without the condition that requests are lost at once, which sends 40 requests to failing targets of a small site where 9 are allowed (test_refusals_send_few_requests_to_failing_targets).

--- a/packages/core/src/tanagerreach_core/_placement.py
+++ b/packages/core/src/tanagerreach_core/_placement.py
@@ -28,7 +28,12 @@
 from ._start_time_fair_queue import StartTimeFairQueue, WaitingRequest
 from ._target_ranking import HEALTHY_FAILURE_PROBABILITY_MAX, TargetRanking
 from ._target_state import PlacedRequest, PlacementTarget, TargetState
-from ._target_use import HEALTHY_UNSERVED_SHARE_MAX, UNSERVED_SHARE_MAX, IdleTargetPlan
+from ._target_use import (
+    ALL_USED_UNSERVED_SHARE,
+    HEALTHY_UNSERVED_SHARE_MAX,
+    UNSERVED_SHARE_MAX,
+    IdleTargetPlan,
+)
 
 MS_PER_S = 1000.0
 PERCENT = 100
@@ -418,9 +423,8 @@
         unserved_share = self._results.unserved_share(now_s)
         if unserved_share > HEALTHY_UNSERVED_SHARE_MAX:
             if is_evaluated or self._idle_plan is None:
-                is_floor_due = unserved_share > UNSERVED_SHARE_MAX
                 self._idle_plan = self._plan_idle_targets(
-                    self._floor_share if is_floor_due else 0.0, now_s
+                    self._needed_share(unserved_share, now_s), now_s
                 )
             idle = self._idle_plan.take(
                 lambda state: self._may_use(state, request, now_s),
@@ -433,6 +437,13 @@
             self._idle_plan = None
         return self._ranking.best(request, self._failure_probability_limit(request, now_s), now_s)
 
+    def _needed_share(self, unserved_share: float, now_s: float) -> float:
+        """Return the share of the targets that has to be in use."""
+        if unserved_share <= UNSERVED_SHARE_MAX or not self._floor_share:
+            return 0.0
+        is_crash = unserved_share > ALL_USED_UNSERVED_SHARE and self._results.is_surging(now_s)
+        return 1.0 if is_crash else self._floor_share
+
     def _plan_idle_targets(self, floor_share: float, now_s: float) -> IdleTargetPlan:
         return IdleTargetPlan(
             self._targets.values(),
--- a/packages/core/src/tanagerreach_core/_target_use.py
+++ b/packages/core/src/tanagerreach_core/_target_use.py
@@ -20,6 +20,9 @@
 # The same for targets that failed before. The platform allows a tenth, and looks back over 2 s in
 # which a crash of several targets may have added half of that.
 UNSERVED_SHARE_MAX = 0.04
+# Above this share nearly the platform's tenth is reached, and all targets that may have recovered
+# are used at once: the rest of the platform's span of 2 s may be short.
+ALL_USED_UNSERVED_SHARE = 0.09
 # Added to the floor, since the platform may count the targets at slightly different times.
 FLOOR_MARGIN = 0.05
 HEALTHY_IDLE_S = 1.0
--- a/packages/core/tests/test_placement_at_size.py
+++ b/packages/core/tests/test_placement_at_size.py
@@ -369,6 +369,28 @@
         return ends_s - self.SPAN_S <= at_s < ends_s
 
 
+class CutReplay(CrashReplay):
+    """The same while most targets are cut off in a way that does not fail the home's requests."""
+
+    IMPAIRED = {f"t{number}" for number in range(TARGET_COUNT) if number % 5 in (1, 3, 4)}
+    IMPAIRED_FAILING_SHARE = 0.0
+    # The home can send a request to each idle target within this time after the crash.
+    REACTION_S = 0.2
+
+    def least_used_share_with_crash(self):
+        """Return the least share of sound targets in use, of spans that go on after the crash."""
+        shares = []
+        for step in range(18):
+            ends_s = self.CRASH_S + self.REACTION_S + 0.1 * step
+            sent = [entry for entry in self.requests if self.is_in_span(entry[0], ends_s)]
+            if sum(not entry[3] for entry in sent) > 0.1 * len(sent):
+                failed = {e[2] for e in self.requests if not e[3] and ends_s - 4.0 <= e[1] < ends_s}
+                sound = {f"t{number}" for number in range(TARGET_COUNT)}
+                sound -= self.IMPAIRED | self.CRASHED | failed
+                shares.append(len(sound & {entry[2] for entry in sent}) / len(sound))
+        return min(shares)
+
+
 class FloorTest(unittest.TestCase):
     """Load pattern: a service loses a few requests all the time, and many at once in a crash."""
 
@@ -381,6 +403,15 @@
             with self.subTest(seed=seed):
                 self.assertGreaterEqual(CrashReplay(seed).run().least_used_share(), 0.7)
 
+    def test_targets_stay_idle_after_a_crash(self):
+        """Guards against idle targets that are used too late, as others count less than it seems.
+
+        A target that failed by itself counts again after 2 s, also for spans that begin later.
+        """
+        for seed in range(8):
+            with self.subTest(seed=seed):
+                self.assertGreaterEqual(CutReplay(seed).run().least_used_share_with_crash(), 0.7)
+
 
 class DecidingAloneTest(unittest.TestCase):
     """Load pattern: no home replies in time, and each instance decides by itself."""
