Use targets that failed before only as far as failures call for it

Cause: targets that failed before were used as strictly as the platform may count them from 4% requests that were not served, whether those were refused over a quota or failed, and whatever a crash could add.

The stricter count now starts where half of the requests in flight, lost at once, would reach the platform's tenth together with those that fail now, and not below 4%. It therefore depends on how long requests take.

--- a/packages/core/src/tanagerreach_core/_placement.py
+++ b/packages/core/src/tanagerreach_core/_placement.py
@@ -28,12 +28,7 @@
 from ._start_time_fair_queue import StartTimeFairQueue, WaitingRequest
 from ._target_ranking import HEALTHY_FAILURE_PROBABILITY_MAX, TargetRanking
 from ._target_state import PlacedRequest, PlacementTarget, TargetState
-from ._target_use import (
-    ALL_USED_UNSERVED_SHARE,
-    HEALTHY_UNSERVED_SHARE_MAX,
-    UNSERVED_SHARE_MAX,
-    IdleTargetPlan,
-)
+from ._target_use import HEALTHY_UNSERVED_SHARE_MAX, IdleTargetPlan, idle_target_use
 
 MS_PER_S = 1000.0
 PERCENT = 100
@@ -209,7 +204,7 @@
 
     def record_refusal(self, now_s: float) -> None:
         """Count a refused request."""
-        self._results.add(now_s, is_unserved=True)
+        self._results.add_refused(now_s)
 
     def withdraw(self, key: tuple[str, int]) -> None:
         """Remove a queued request whose caller disconnected."""
@@ -258,7 +253,7 @@
         """Count a request as served or not, unless its instance may retry it."""
         if outcome is Outcome.CANCELLED or awaits_retry(placement_request, outcome):
             return
-        self._results.add(now_s, is_unserved=_is_failure(outcome))
+        self._results.add_placed(now_s, is_failed=_is_failure(outcome))
 
     def digest(self, service: str, now_s: float) -> FailureDigest:
         """Return the targets' failure probabilities, for the home that may take over."""
@@ -420,12 +415,9 @@
         is_evaluated = self._ranking.evaluate(self.service_time_s, now_s)
         if not self._ranking:
             return None
-        unserved_share = self._results.unserved_share(now_s)
-        if unserved_share > HEALTHY_UNSERVED_SHARE_MAX:
+        if self._results.unserved_share(now_s) > HEALTHY_UNSERVED_SHARE_MAX:
             if is_evaluated or self._idle_plan is None:
-                self._idle_plan = self._plan_idle_targets(
-                    self._needed_share(unserved_share, now_s), now_s
-                )
+                self._idle_plan = self._plan_idle_targets(now_s)
             idle = self._idle_plan.take(
                 lambda state: self._may_use(state, request, now_s),
                 is_retryable=request.placement_request.is_retryable,
@@ -437,18 +429,12 @@
             self._idle_plan = None
         return self._ranking.best(request, self._failure_probability_limit(request, now_s), now_s)
 
-    def _needed_share(self, unserved_share: float, now_s: float) -> float:
-        """Return the share of the targets that has to be in use."""
-        if unserved_share <= UNSERVED_SHARE_MAX or not self._floor_share:
-            return 0.0
-        is_crash = unserved_share > ALL_USED_UNSERVED_SHARE and self._results.is_surging(now_s)
-        return 1.0 if is_crash else self._floor_share
-
-    def _plan_idle_targets(self, floor_share: float, now_s: float) -> IdleTargetPlan:
+    def _plan_idle_targets(self, now_s: float) -> IdleTargetPlan:
         return IdleTargetPlan(
             self._targets.values(),
+            use=idle_target_use(self._results, len(self._placed), now_s),
             failure_probability=lambda state: self._ranking.failure_probability(state.spec.name),
-            floor_share=floor_share,
+            floor_share=self._floor_share,
             now_s=now_s,
         )
 
--- a/packages/core/src/tanagerreach_core/_target_use.py
+++ b/packages/core/src/tanagerreach_core/_target_use.py
@@ -10,19 +10,27 @@
 
 import math
 from collections.abc import Callable, Collection, Iterable
+from enum import IntEnum
 
+from ._recent_results import RecentResults
 from ._target_ranking import HEALTHY_FAILURE_PROBABILITY_MAX
 from ._target_state import TargetState
 
 # Above this share of requests that are not served, targets that are likely healthy must not stay
 # idle.
 HEALTHY_UNSERVED_SHARE_MAX = 0.02
-# The same for targets that failed before. The platform allows a tenth, and looks back over 2 s in
-# which a crash of several targets may have added half of that.
-UNSERVED_SHARE_MAX = 0.04
-# Above this share nearly the platform's tenth is reached, and all targets that may have recovered
-# are used at once: the rest of the platform's span of 2 s may be short.
-ALL_USED_UNSERVED_SHARE = 0.09
+# The same for targets that failed before; the platform allows a tenth.
+UNSERVED_SHARE_MAX = 0.08
+# The same for all targets that may have recovered, when requests fail at once as in a crash: what
+# is left of the platform's span of 2 s may be short.
+CRASH_UNSERVED_SHARE_MAX = 0.09
+# The platform looks back over 2 s. If so many of the requests in flight were lost at once, a tenth
+# must not be reached while too few targets are in use.
+CRASH_SHARE = 0.5
+UNSERVED_SHARE_ALLOWED = 0.1
+# Below this share of requests that fail, more would be lost at targets that still fail than in a
+# crash.
+CRASH_FLOOR_FAILED_SHARE_MIN = 0.04
 # Added to the floor, since the platform may count the targets at slightly different times.
 FLOOR_MARGIN = 0.05
 HEALTHY_IDLE_S = 1.0
@@ -39,13 +47,37 @@
 UNCOUNTED_S = 4.0
 
 
+class IdleTargetUse(IntEnum):
+    """Which idle targets are to be used."""
+
+    HEALTHY = 0
+    """Those that are likely healthy."""
+    FLOOR = 1
+    """Also others, until the floor's share of the targets is in use, as the home counts it."""
+    CRASH_FLOOR = 2
+    """The same as the platform may count it, since a crash would require the floor."""
+    ALL = 3
+    """All that may have recovered."""
+
+
+def idle_target_use(results: RecentResults, in_flight_count: int, now_s: float) -> IdleTargetUse:
+    """Return which idle targets are to be used, from a service's recent results."""
+    unserved_share = results.unserved_share(now_s)
+    if unserved_share > CRASH_UNSERVED_SHARE_MAX and results.is_surging(now_s):
+        return IdleTargetUse.ALL
+    crash_share = CRASH_SHARE * in_flight_count / max(1, results.request_count(now_s))
+    failed_share_max = max(CRASH_FLOOR_FAILED_SHARE_MIN, UNSERVED_SHARE_ALLOWED - crash_share)
+    if results.failed_share(now_s) > failed_share_max:
+        return IdleTargetUse.CRASH_FLOOR
+    return IdleTargetUse.FLOOR if unserved_share > UNSERVED_SHARE_MAX else IdleTargetUse.HEALTHY
+
+
 class IdleTargetPlan:
     """Idle targets that the next requests are to use.
 
     :param targets: all targets of the service.
     :param failure_probability: returns the probability that a target fails a request now.
-    :param floor_share: share of the targets that has to be in use, from 0 to 1; 0 when only
-        targets that are likely healthy are to be used.
+    :param floor_share: share of the targets that has to be in use, from 0 to 1.
     """
 
     __slots__ = ("_healthy", "_needs")
@@ -54,6 +86,7 @@
         self,
         targets: Collection[TargetState],
         *,
+        use: IdleTargetUse,
         failure_probability: Callable[[TargetState], float],
         floor_share: float,
         now_s: float,
@@ -68,22 +101,27 @@
             key=lambda state: state.latest_start_s,
         )
         self._needs: list[_Need] = []
-        if floor_share:
-            by_probability = sorted(targets, key=failure_probability)
-            self._needs = [
+        if not floor_share or use is IdleTargetUse.HEALTHY:
+            return
+        by_probability = sorted(targets, key=failure_probability)
+        if use is not IdleTargetUse.FLOOR:
+            share = 1.0 if use is IdleTargetUse.ALL else floor_share
+            self._needs.append(
                 _Need(
                     [state for state in by_probability if not _may_be_uncounted(state, now_s)],
-                    lambda count: math.ceil(floor_share * count) + int(FLOOR_MARGIN * count),
+                    lambda count: math.ceil(share * count) + int(FLOOR_MARGIN * count),
                     FAILED_PAUSE_S,
                     now_s,
-                ),
-                _Need(
-                    by_probability,
-                    lambda count: math.ceil((floor_share + FLOOR_MARGIN) * count),
-                    MARGIN_FAILED_PAUSE_S,
-                    now_s,
-                ),
-            ]
+                )
+            )
+        self._needs.append(
+            _Need(
+                by_probability,
+                lambda count: math.ceil((floor_share + FLOOR_MARGIN) * count),
+                MARGIN_FAILED_PAUSE_S,
+                now_s,
+            )
+        )
 
     def take(
         self, may_use: Callable[[TargetState], bool], *, is_retryable: bool, now_s: float
