Log why a home uses targets that failed before

The load of a home now has the share of failed requests and which idle targets are used. No decision changes.

--- a/packages/core/src/tanagerreach_core/_placement.py
+++ b/packages/core/src/tanagerreach_core/_placement.py
@@ -28,7 +28,12 @@
 from ._start_time_fair_queue import StartTimeFairQueue, WaitingRequest
 from ._target_ranking import HEALTHY_FAILURE_PROBABILITY_MAX, TargetRanking
 from ._target_state import PlacedRequest, PlacementTarget, TargetState
-from ._target_use import HEALTHY_UNSERVED_SHARE_MAX, IdleTargetPlan, idle_target_use
+from ._target_use import (
+    HEALTHY_UNSERVED_SHARE_MAX,
+    IdleTargetPlan,
+    IdleTargetUse,
+    idle_target_use,
+)
 
 MS_PER_S = 1000.0
 PERCENT = 100
@@ -66,11 +71,14 @@
     """State of a service at its home, for the log.
 
     :param unserved_share: share of the recent requests that were not served, from 0 to 1.
+    :param failed_share: share of the recent requests that failed at targets, from 0 to 1.
     """
 
     waiting_count: int
     in_flight_count: int
     unserved_share: float
+    failed_share: float
+    idle_target_use: IdleTargetUse
 
 
 Decision = tuple[WaitingRequest, PlacementReply]
@@ -142,6 +150,8 @@
             waiting_count=len(self._queue),
             in_flight_count=len(self._placed),
             unserved_share=self._results.unserved_share(now_s),
+            failed_share=self._results.failed_share(now_s),
+            idle_target_use=idle_target_use(self._results, len(self._placed), now_s),
         )
 
     def configure(self, targets: Iterable[PlacementTarget], now_s: float) -> None:
--- a/packages/daemon/src/tanagerreachd/gateway/_home_server.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_home_server.py
@@ -257,6 +257,8 @@
                 waiting_count=load.waiting_count,
                 in_flight_count=load.in_flight_count,
                 unserved_percent=round(100 * load.unserved_share),
+                failed_percent=round(100 * load.failed_share),
+                idle_target_use=load.idle_target_use.name.lower(),
                 fleet_percent=round(100 * self._peer_table.fleet_share(now_s)),
             )
 
--- a/packages/daemon/tests/test_gateway_homes.py
+++ b/packages/daemon/tests/test_gateway_homes.py
@@ -4,8 +4,14 @@
 
 import gevent
 from tanagerreach_core.config import Configuration, DataCentre, Limit, Resolver, Service, Workspace
-from tanagerreach_core.messages import PlacementRequest, PlacementState, QuotaRequest
+from tanagerreach_core.messages import (
+    PlacementCompletion,
+    PlacementRequest,
+    PlacementState,
+    QuotaRequest,
+)
 from tanagerreach_core.placement import CrashStreaks, PeerTable
+from tanagerreach_core.traffic import Outcome
 from tanagerreachd.gateway import ListedTarget, Listing, StoredItem
 from tanagerreachd.gateway._home_server import HomeServer
 from tanagerreachd.gateway._target_directory import RETURN_GRACE_S, TargetDirectory
@@ -50,12 +56,15 @@
     return PlacementRequest(**values)
 
 
-class SilentLog:
-    """Log that drops its lines."""
+class RecordingLog:
+    """Log that keeps its lines."""
+
+    def __init__(self):
+        self.lines = []
 
     def info(self, event, **fields):
-        """Discard a line."""
-        pass
+        """Keep a line."""
+        self.lines.append((event, fields))
 
 
 class HomeServerTest(unittest.TestCase):
@@ -63,6 +72,7 @@
 
     def setUp(self):
         self.is_current = True
+        self.log = RecordingLog()
         self.directory = TargetDirectory(decode=decoded)
         self.directory.replace(listing(1, t1="a", t2="b"), 0.0)
         self.resolver = Resolver(self.configuration(1))
@@ -76,7 +86,7 @@
             floor_share=0.7,
             heartbeat_s=1.5,
             crashes=CrashStreaks(),
-            log=SilentLog(),
+            log=self.log,
         )
 
     @staticmethod
@@ -111,6 +121,25 @@
         targets = {self.place(made_placement_request(number)).target for number in range(1, 3)}
         self.assertEqual(targets, {"t2"})
 
+    def test_use_of_failing_targets_is_not_logged(self):
+        """Guards against a home whose load does not tell why targets that failed get requests."""
+        placement = self.place(made_placement_request(1, is_retryable=False))
+        completion = PlacementCompletion(
+            call_id=1,
+            service="s",
+            target=placement.target,
+            outcome=Outcome.BROKEN_AFTER_HEAD,
+            latency_ms=5,
+        )
+        self.homes.complete("i1", completion)
+        self.homes.record_refusal("s")
+        self.homes.report_load()
+        event, fields = self.log.lines[-1]
+        self.assertEqual(event, "home load")
+        self.assertEqual(fields["unserved_percent"], 100)
+        self.assertEqual(fields["failed_percent"], 50)
+        self.assertEqual(fields["idle_target_use"], "all")
+
     def test_quota_is_counted(self):
         """Guards against requests granted beyond the rate, and refused below it."""
         granted = [self.homes.take_quota(QuotaRequest(call_id=n, workspace="w")) for n in range(5)]
