Drop expired results before their share is computed

What callers saw: nothing known; found by reading the change once more. After a pause, the first request of a service was placed as if all requests failed, as the share of unserved requests could be far above 1: 50 refusals that were ten seconds old gave a share of 50.0. Targets that failed before then got requests without need, and the load of a home was logged with such a percentage.

Cause: moved the removal of expired entries into the method that counts the requests. The division read the number of unserved ones before it called that method. Under steady load the difference is what expired since the last call.

All figures of the window now drop expired entries first, also the check for requests that fail at once.

Evidence: test_share_counts_requests_of_an_earlier_time failed before.

--- a/packages/core/src/tanagerreach_core/_recent_results.py
+++ b/packages/core/src/tanagerreach_core/_recent_results.py
@@ -35,23 +35,29 @@
 
     def request_count(self, now_s: float) -> int:
         """Return the number of requests of the window."""
-        while self._entries and now_s - self._entries[0][0] > WINDOW_S:
-            _, was_unserved, has_failed = self._entries.popleft()
-            self._unserved_count -= was_unserved
-            self._failed_count -= has_failed
+        self._drop_expired(now_s)
         return len(self._entries)
 
     def unserved_share(self, now_s: float) -> float:
         """Return the share of requests that were not served, from 0 to 1."""
-        return self._unserved_count / max(1, self.request_count(now_s))
+        self._drop_expired(now_s)
+        return self._unserved_count / max(1, len(self._entries))
 
     def failed_share(self, now_s: float) -> float:
         """Return the share of requests that failed at targets, from 0 to 1."""
-        return self._failed_count / max(1, self.request_count(now_s))
+        self._drop_expired(now_s)
+        return self._failed_count / max(1, len(self._entries))
 
     def is_surging(self, now_s: float) -> bool:
         """Return whether many of the requests that were not served failed just now."""
+        self._drop_expired(now_s)
         latest = itertools.takewhile(
             lambda entry: now_s - entry[0] <= SURGE_S, reversed(self._entries)
         )
         return sum(entry[2] for entry in latest) > SURGE_SHARE * self._unserved_count
+
+    def _drop_expired(self, now_s: float) -> None:
+        while self._entries and now_s - self._entries[0][0] > WINDOW_S:
+            _, was_unserved, has_failed = self._entries.popleft()
+            self._unserved_count -= was_unserved
+            self._failed_count -= has_failed
--- a/packages/core/tests/test_placement.py
+++ b/packages/core/tests/test_placement.py
@@ -476,6 +476,18 @@
         self.assertIs(other.place(5.1, fingerprint=b"f")[1].cause, RefusalCause.CRASH_REQUEST)
         self.assertIs(other.place(61.0, fingerprint=b"f")[1].state, PlacementState.GRANTED)
 
+    def test_share_counts_requests_of_an_earlier_time(self):
+        """Guards against targets that failed being used since many requests failed long ago."""
+        placement = make_placement(make_targets(2))
+        requester = Requester(placement)
+        for number in range(50):
+            placement.record_refusal(0.01 * number)
+            key, _ = requester.place(0.01 * number, is_retryable=False)
+            placement.complete(key, Outcome.ERROR, 0.01, b"", 0.01 * number)
+        load = placement.load(10.0)
+        self.assertEqual((load.unserved_share, load.failed_share), (0.0, 0.0))
+        self.assertEqual(load.idle_target_use.name, "HEALTHY")
+
     def test_placement_without_a_completion_is_released(self):
         """Guards against slots that stay occupied after the instance that used them failed."""
         placement = make_placement(make_targets(1))
