--- a/packages/core/src/tanagerreach_core/_peer_table.py
+++ b/packages/core/src/tanagerreach_core/_peer_table.py
@@ -229,9 +229,7 @@
 
     def fleet_share(self, now_s: float) -> float:
         """Return the fraction of the known fleet that is live, this instance included."""
-        live = sum(1 for peer in self._peers.values() if self.is_live(peer, now_s))
-        counted = sum(1 for peer in self._peers.values() if not peer.is_leaving)
-        return min(1.0, (1 + live) / (1 + max(counted, live)))
+        return min(1.0, (1 + self._live_count(now_s)) / self._fleet_size(now_s))
 
     def lent_share(self, rendezvous_key: bytes, now_s: float) -> float:
         """Return the fraction of the known fleet that uses this instance as a key's home.
@@ -240,15 +238,21 @@
         instance counts at one home only, so the shares of all homes add up to one at most.
         """
         users = self._user_count(rendezvous_key, self._heard_peers(now_s), now_s)
-        live = sum(1 for peer in self._peers.values() if self.is_live(peer, now_s))
-        counted = sum(1 for peer in self._peers.values() if not peer.is_leaving)
-        return min(1.0, users / (1 + max(counted, live)))
+        return min(1.0, users / self._fleet_size(now_s))
 
     def user_share(self, rendezvous_key: bytes, now_s: float) -> float:
         """Return the fraction that uses this instance as a key's home, of those it hears."""
         heard = self._heard_peers(now_s)
         return self._user_count(rendezvous_key, heard, now_s) / (1 + len(heard))
 
+    def _live_count(self, now_s: float) -> int:
+        return sum(self.is_live(peer, now_s) for peer in self._peers.values())
+
+    def _fleet_size(self, now_s: float) -> int:
+        """Return the number of instances that share a right, this one included."""
+        staying = sum(not peer.is_leaving for peer in self._peers.values())
+        return 1 + max(staying, self._live_count(now_s))
+
     def _heard_peers(self, now_s: float) -> list[Peer]:
         heard_since_s = now_s - LENDER_TIMEOUT_INTERVALS * self.heartbeat_s
         return [peer for peer in self._peers.values() if peer.last_heard_s >= heard_since_s]
