--- a/packages/core/src/tanagerreach_core/_peer_table.py
+++ b/packages/core/src/tanagerreach_core/_peer_table.py
@@ -69,6 +69,7 @@
     """
 
     __slots__ = (
+        "_data_centres",
         "_own_live_since_s",
         "_own_name",
         "_largest_size",
@@ -86,6 +87,8 @@
         self._own_name = own_name
         self.heartbeat_s = heartbeat_s
         self._peers: dict[str, Peer] = {}
+        # Data centres of the peers, by address.
+        self._data_centres: dict[str, str] = {}
         # All known instances in a rendezvous key's order; ``None`` stands for this one.
         self._preferences: dict[bytes, list[Peer | None]] = {}
         self._suspected: list[Peer] = []
@@ -99,6 +102,10 @@
         """All known peers."""
         return list(self._peers.values())
 
+    def data_centre_of(self, address: str) -> str:
+        """Return the data centre of the peer with an address, empty when it is not known."""
+        return self._data_centres.get(address, "")
+
     def add(self, name: str, address: str, now_s: float) -> bool:
         """Add a peer that the platform or another peer named.
 
@@ -115,9 +122,12 @@
             known.address = address
         return False
 
-    def record_heartbeat(self, name: str, address: str, now_s: float) -> tuple[Peer, bool]:
+    def record_heartbeat(
+        self, name: str, address: str, now_s: float, *, data_centre: str = ""
+    ) -> tuple[Peer, bool]:
         """Record a heartbeat.
 
+        :param data_centre: the peer's data centre, empty when it is not known.
         :returns: the peer, and whether it was silent or unknown before.
         """
         self.add(name, address, now_s)
@@ -125,6 +135,9 @@
         was_silent = not self.is_live(peer, now_s)
         if was_silent:
             peer.live_since_s = now_s
+        if data_centre:
+            peer.data_centre = data_centre
+            self._data_centres[address] = data_centre
         peer.address = address
         peer.last_heard_s = now_s
         return peer, was_silent
@@ -297,6 +310,7 @@
             silent_s = now_s - max(peer.last_heard_s, peer.added_s)
             if silent_s > (self.heartbeat_timeout_s if peer.is_leaving else PEER_EXPIRY_S):
                 del self._peers[peer.name]
+                self._data_centres.pop(peer.address, None)
                 self._preferences.clear()
                 dropped.append(peer.name)
         return dropped
--- a/packages/daemon/src/tanagerreachd/_peer_link.py
+++ b/packages/daemon/src/tanagerreachd/_peer_link.py
@@ -113,6 +113,7 @@
     :param codec: codec with the fleet secret.
     :param clock: hybrid logical clock, sent with each message and merged on receipt.
     :param restart_timeout_s: see :class:`ReplayGuard`.
+    :param on_sent: called with the address, the message and the size in bytes of each datagram.
     """
 
     __slots__ = (
@@ -123,6 +124,7 @@
         "_guard",
         "_handler",
         "_on_failure",
+        "_on_sent",
         "_sender",
         "_socket",
         "address",
@@ -137,7 +139,9 @@
         codec: PeerCodec,
         clock: HybridClock,
         restart_timeout_s: float | None = None,
+        on_sent: Callable[[str, Message, int], None] | None = None,
     ) -> None:
+        self._on_sent = on_sent
         self._clock = clock
         self._codec = codec
         self._sender = sender
@@ -186,6 +190,8 @@
             return
         self.counters.sent_count += 1
         self.counters.sent_bytes += len(datagram)
+        if self._on_sent is not None:
+            self._on_sent(address, message, len(datagram))
 
     def _receive_loop(self) -> None:
         handled = 0
--- a/packages/daemon/src/tanagerreachd/gateway/_application.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_application.py
@@ -41,6 +41,7 @@
 from ._request_refusals import stopping, tries_failed, unavailable
 from ._retry_budgets import RetryBudgets
 from ._sources import CallerLimits
+from ._traffic import TrafficCounts, message_bytes
 
 # Bodies up to this size are read before the placement request, so that no target slot is held
 # while the caller sends.
@@ -79,8 +80,10 @@
         retry_budgets: RetryBudgets,
         upstream: UpstreamClient,
         watch: CallerWatch,
+        traffic: TrafficCounts,
         log: RequestLog,
     ) -> None:
+        self._traffic = traffic
         self._own_data_centre = own_data_centre
         self._dialect = dialect
         self._resolver = resolver
@@ -425,13 +428,17 @@
             try_timeout_s = placement.reply.try_timeout_ms / 1000.0
             if left_s > 1.5 * try_timeout_s:
                 head_timeout_s = try_timeout_s
-        return self._upstream.send(
+        headers = request.target_headers(self._dialect, placement.reply.target, now_s)
+        self._traffic.add_request(
+            placement.reply.data_centre, message_bytes(headers.items(), request.body.buffered)
+        )
+        response = self._upstream.send(
             target=placement.reply.target,
             address=placement.reply.address,
             request=UpstreamRequest(
                 method=request.method,
                 target_path=request.raw_target,
-                headers=request.target_headers(self._dialect, placement.reply.target, now_s),
+                headers=headers,
                 body=_body(request.body),
                 request_id=request.request_id,
                 max_idle_s=REUSED_CONNECTION_IDLE_S if is_retryable else FRESH_CONNECTION_IDLE_S,
@@ -439,6 +446,10 @@
             time_limit_s=left_s,
             head_timeout_s=head_timeout_s,
         )
+        self._traffic.add_response(
+            placement.reply.data_centre, message_bytes(response.headers, response.body)
+        )
+        return response
 
     # Refusals
 
--- a/packages/daemon/src/tanagerreachd/gateway/_instance.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_instance.py
@@ -54,6 +54,7 @@
 from ._settings import GatewaySettings
 from ._sources import CallerLimits, OperatorState, Platform, SourceError
 from ._target_directory import TargetDirectory
+from ._traffic import TrafficCounts
 
 # A peer that sent nothing for this long may return with an earlier incarnation, since its clock may
 # have been set back.
@@ -82,6 +83,7 @@
 STOP_POLL_S = 0.02
 SWEEP_INTERVAL_S = 2.0
 LOAD_REPORT_INTERVAL_S = 1.0
+TRAFFIC_REPORT_INTERVAL_S = 5.0
 DEFAULT_LIMITS = CallerLimits(
     header_bytes=16 * 1024, body_bytes=64 * 1024 * 1024, header_time_s=3.0, idle_time_s=15.0
 )
@@ -120,6 +122,13 @@
             own_name=settings.instance_name, heartbeat_s=HEARTBEAT_S, now_s=self._started_s
         )
         self._peer_table.own_is_home = False
+        self._traffic = TrafficCounts(
+            own_data_centre=settings.data_centre,
+            peer_data_centre=self._peer_table.data_centre_of,
+            metrics=self._metrics,
+            log=log,
+        )
+        platform.observe_calls(self._traffic.add_call)
         self._build_peers()
         self._build_store()
         self._build_homes()
@@ -150,6 +159,7 @@
                 codec=PeerCodec(secret=settings.fleet_secret.encode()),
                 clock=HybridClock(),
                 restart_timeout_s=RESTART_TIMEOUT_S,
+                on_sent=self._traffic.add_message,
             )
         self._calls = PeerCalls(send=self._link.send)
         self._peer_states = PeerStateClient(addresses=self._state_addresses, log=self._log)
@@ -224,6 +234,7 @@
             retry_budgets=self._retry_budgets,
             upstream=self._upstream,
             watch=self._watch,
+            traffic=self._traffic,
             log=RequestLog(log=self._log, metrics=self._metrics),
         )
         self._callers = CallerServer(
@@ -277,6 +288,7 @@
         self._loops.start(self._targets.run)
         self._loops.start(self._homes.run)
         self._loops.start(self._homes.report_load, LOAD_REPORT_INTERVAL_S)
+        self._loops.start(self._traffic.report, TRAFFIC_REPORT_INTERVAL_S)
         self._loops.start(self._run_heartbeat)
         self._loops.start(self._send_digests, DIGEST_INTERVAL_S)
         self._loops.start(self._watch.run)
@@ -421,9 +433,10 @@
         if name == self._settings.instance_name:
             return
         now_s = _clock.now_s()
-        peer, was_silent = self._peer_table.record_heartbeat(name, message.address, now_s)
+        peer, was_silent = self._peer_table.record_heartbeat(
+            name, message.address, now_s, data_centre=message.data_centre
+        )
         was_serving = peer.is_serving and not peer.is_leaving
-        peer.data_centre = message.data_centre
         peer.is_leaving = message.is_leaving
         peer.is_serving = message.is_serving
         if peer.store_reachable and not message.store_reachable:
--- a/packages/daemon/src/tanagerreachd/gateway/_sources.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_sources.py
@@ -1,6 +1,7 @@
 """Interface between a gateway instance and the platform's adapter."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from tanagerreach_core.config import Configuration
@@ -120,6 +121,13 @@
     def target_items(self) -> Source:
         """Source of the targets' entries."""
 
+    @abstractmethod
+    def observe_calls(self, on_call: Callable[[str, str], None]) -> None:
+        """Report each call to the store.
+
+        :param on_call: called with the kind of the call and the part of the store that it is for.
+        """
+
     @abstractmethod
     def decode_operator_state(self, listing: Listing) -> OperatorState | None:
         """Decode the operator state; ``None`` when there is no usable configuration."""
--- a/packages/daemon/tests/test_gateway_application.py
+++ b/packages/daemon/tests/test_gateway_application.py
@@ -79,6 +79,7 @@
             retry_budgets=mock.MagicMock(),
             upstream=mock.Mock(send=self.send),
             watch=self.watch,
+            traffic=mock.Mock(),
             log=mock.Mock(),
         )
         sweeps = gevent.spawn(self.watch.run)
