Pause between reads of an empty list of targets

What callers saw: nothing.

Cause: the pause between reads was skipped for an empty list, which was meant for the first read only. Ruled out: failing reads, which have a backoff of their own. test_empty_list_is_read_without_a_pause: 1,000 reads in its second before, 2 to 5 now.

--- a/packages/daemon/src/tanagerreachd/gateway/_followers.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_followers.py
@@ -36,6 +36,8 @@
 CHECK_INTERVAL_S = 3.0
 # Interval at which an instance that places no requests reads a stale list.
 STALE_READ_INTERVAL_S = 4.0
+# The same while no targets are listed.
+EMPTY_READ_INTERVAL_S = 0.4
 DAY_S = 86_400.0
 FAILURE_PAUSE_MIN_S = 0.25
 FAILURE_PAUSE_MAX_S = 1.0
@@ -357,8 +359,9 @@
         """Follow changes once while that is needed; otherwise refresh the stale list."""
         if not self._is_needed:
             self._is_following = False
-            if len(self._directory):
-                self._wake.wait(STALE_READ_INTERVAL_S * self._random.uniform(0.8, 1.2))
+            if self._has_read:
+                pause_s = STALE_READ_INTERVAL_S if len(self._directory) else EMPTY_READ_INTERVAL_S
+                self._wake.wait(pause_s * self._random.uniform(0.8, 1.2))
         self._wake.clear()
         is_needed = self._is_needed
         try:
@@ -388,6 +391,10 @@
         if self._directory.replace(listing, _clock.now_s()):
             self._on_change()
 
+    @property
+    def _has_read(self) -> bool:
+        return self._last_response_s > float("-inf")
+
     def _record_response(self) -> None:
         self._last_response_s = _clock.now_s()
         if self._availability.record_success():
--- a/packages/daemon/tests/test_gateway_followers.py
+++ b/packages/daemon/tests/test_gateway_followers.py
@@ -50,6 +50,28 @@
             loop.kill()
         self.assertLessEqual(source.read_count, 2)
 
+    def test_empty_list_is_read_without_a_pause(self):
+        """Guards against a flood of store calls while no target has registered.
+
+        Load pattern: a whole fleet starts before the targets do.
+        """
+        source = mock.Mock()
+        source.read.return_value = Listing(items=[], revision=1)
+        directory = TargetDirectory(decode=mock.Mock(), on_skipped=mock.Mock())
+        follower = TargetFollower(
+            platform=mock.Mock(target_items=source),
+            directory=directory,
+            on_change=lambda: None,
+            on_availability=lambda: None,
+            log=mock.Mock(),
+            random=Random(1),
+        )
+        loop = gevent.spawn(lambda: [follower.run() for _ in range(1000)])
+        gevent.sleep(1.0)
+        loop.kill()
+        self.assertLessEqual(source.read.call_count, 5)
+        self.assertGreaterEqual(source.read.call_count, 2)
+
 
 class HangingSource:
     """Store that never ends a call that it got before or while it hangs.
