Let the speakers of each group follow the operators' state for it

What callers saw: nothing; calls to the store have a price, the dearest after bytes on fleets of hundreds of instances.

Cause: each instance watched the operators' state, so that each change cost as many calls as there are instances, twice where a watch and a read crossed. Now the two speakers of each group watch it, and the others read it from a peer when a heartbeat tells of a newer one; from the store when no peer replies. An instance that hears no speaker is one itself. Ruled out: longer waits of the watch (each change ends it all the same).

test_whole_fleet_watches_the_store and test_new_reader_misses_changes failed before; the fall-back has test_peers_that_do_not_reply_keep_the_state_old.

--- a/packages/daemon/src/tanagerreachd/gateway/_followers.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_followers.py
@@ -1,9 +1,10 @@
 """Follows the operator state and the targets' entries in the platform's store.
 
-Each target writes its entry every heartbeat, so a watch of the entries returns continually, and
-each call to the store is costly. Therefore only instances that place requests follow the entries;
-the others read a stale list at intervals, to have one while the store is unreachable. Operators
-write rarely, so all instances follow the operator state.
+Each call to the store is costly, and a watch returns at each change. Each target writes its entry
+every heartbeat; therefore only instances that place requests follow the entries, and the others
+read a stale list at intervals, to have one while the store is unreachable. The operator state is
+followed by few instances of each group; the others learn from their peers' states that there is a
+newer one, and read it from them.
 """
 
 from collections.abc import Callable
@@ -25,6 +26,9 @@
 # An instance whose list of targets is older does not place requests while another instance has a
 # newer one.
 CURRENT_AGE_S = 1.6
+# An instance that reads the operator state from peers waits for up to this time, so that not all
+# of its group ask the first peers that have it.
+PEER_READ_PAUSE_MAX_S = 0.1
 # Time between two reads of changes; a draining target is avoided within a second.
 TARGET_PAUSE_S = 0.6
 # An instance follows the entries for this long after its last placement.
@@ -108,6 +112,7 @@
     """Keeps the newest operator state in force; never returns to an older one.
 
     :param on_state: called with each new state.
+    :param is_reader: returns whether this instance follows the state in the store.
     """
 
     def __init__(
@@ -115,11 +120,14 @@
         *,
         platform: Platform,
         on_state: Callable[[OperatorState], None],
+        is_reader: Callable[[], bool],
         log: InstanceLog,
         random: Random,
     ) -> None:
         self._platform = platform
         self._source = platform.operator_items
+        self._is_reader = is_reader
+        self._random = random
         self._on_state = on_state
         self._log = log
         self._availability = _Availability(part="operator state", log=log, random=random)
@@ -159,17 +167,25 @@
 
     def run_read(self) -> None:
         """Read the state once at start, whenever a peer has a newer one, and after a failure."""
-        is_start = self._revision < 0
-        if not is_start:
-            self._read_requested.wait()
-            self._read_requested.clear()
+        if self._revision < 0:
+            self._read()
+            return
+        self._read_requested.wait()
+        self._read_requested.clear()
+        is_reader = self._is_reader()
+        if is_reader:
             # The watch may return the newer state meanwhile.
             gevent.sleep(OPERATOR_PAUSE_S)
-            if not (self._is_behind or self._needs_read):
-                return
-        if self._availability.is_lost and self._is_behind:
+        else:
+            self._needs_read = False
+            gevent.sleep(self._random.uniform(0, PEER_READ_PAUSE_MAX_S))
+        if not (self._is_behind or self._needs_read):
+            return
+        if self._is_behind and (not is_reader or self._availability.is_lost):
             self._read_from_peer()
-        if self._read() and not is_start:
+        if not is_reader and not self._is_behind:
+            return
+        if self._read():
             # A watch that missed a change, or began before the store was lost, may never return.
             self._interrupt_watch()
 
@@ -206,7 +222,7 @@
 
     def run_watch(self) -> None:
         """Wait for changes once and apply them."""
-        if self._revision < 0 or self._availability.is_lost:
+        if self._revision < 0 or self._availability.is_lost or not self._is_reader():
             # Reads probe the store until it responds.
             gevent.sleep(OPERATOR_PAUSE_S)
             return
--- a/packages/daemon/src/tanagerreachd/gateway/_instance.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_instance.py
@@ -175,6 +175,7 @@
         self._operators = OperatorStateFollower(
             platform=self._platform,
             on_state=self._apply_state,
+            is_reader=lambda: self._membership.is_speaker,
             log=self._log,
             random=self._random,
         )
@@ -341,7 +342,10 @@
         now_s = _clock.now_s()
         peers = [peer for peer in self._peer_table.peers if self._peer_table.is_live(peer, now_s)]
         self._random.shuffle(peers)
-        peers.sort(key=lambda peer: peer.configuration_version, reverse=True)
+        own_data_centre = self._settings.data_centre
+        peers.sort(
+            key=lambda peer: (-peer.configuration_version, peer.data_centre != own_data_centre)
+        )
         hosts = [peer.address.rpartition(":")[0] for peer in peers]
         hosts += [host for host in self._settings.peer_seed_hosts if host not in hosts]
         own = self._settings.host
--- a/packages/daemon/tests/test_gateway_followers.py
+++ b/packages/daemon/tests/test_gateway_followers.py
@@ -83,6 +83,7 @@
         self.revision = 1
         self.is_hanging = False
         self.read_count = 0
+        self.wait_count = 0
         self._call_limit_s = call_limit_s
         self._hang_count = 0
 
@@ -98,6 +99,7 @@
         return self._listing()
 
     def wait(self, after, wait_s):
+        self.wait_count += 1
         ends_s = _clock.now_s() + wait_s
         hang_count = self._hang_count
         while self.is_hanging or self._hang_count > hang_count or self.revision <= after:
@@ -128,10 +130,12 @@
 
     def setUp(self):
         self.source = HangingSource(call_limit_s=0.05)
+        self.is_reader = True
         self.log = mock.Mock()
         self.follower = OperatorStateFollower(
             platform=mock.Mock(operator_items=self.source, decode_operator_state=operator_state),
             on_state=lambda state: None,
+            is_reader=lambda: self.is_reader,
             log=self.log,
             random=Random(1),
         )
@@ -196,6 +200,44 @@
         self.follower.record_peer_version(2)
         self.wait_until_version(2, 1.3)
 
+    def follow_peers(self):
+        """Let the follower learn of changes by its peers only; returns the calls until now."""
+        self.is_reader = False
+        self.source.revision += 1
+        # The watch that had begun returns.
+        gevent.sleep(0.6)
+        return self.source.read_count + self.source.wait_count
+
+    def test_whole_fleet_watches_the_store(self):
+        """Guards against a call of each instance to the store for each change."""
+        call_count = self.follow_peers()
+        for revision in (3, 4, 5):
+            self.source.revision = revision
+            newer = self.source._listing()
+            self.follower.set_peer_reader(lambda listing=newer: listing)
+            self.follower.record_peer_version(revision)
+            self.wait_until_version(revision, 0.3)
+        gevent.sleep(0.5)
+        self.assertEqual(self.source.read_count + self.source.wait_count, call_count)
+
+    def test_peers_that_do_not_reply_keep_the_state_old(self):
+        """Guards against an old state while no peer can be read, but the store replies."""
+        self.follow_peers()
+        self.source.revision = 3
+        self.follower.record_peer_version(3)
+        self.wait_until_version(3, 0.5)
+
+    def test_new_reader_misses_changes(self):
+        """Guards against an instance that does not follow the store after its readers are gone."""
+        self.follow_peers()
+        self.source.revision = 3
+        gevent.sleep(0.3)
+        self.assertLess(self.follower.version, 3)
+        self.is_reader = True
+        self.wait_until_version(3, 0.5)
+        self.source.revision = 4
+        self.wait_until_version(4, 0.5)
+
 
 if __name__ == "__main__":
     unittest.main()
