Tell a hanging target by how long its requests take, from the latencies of the service

Cause: one fixed limit, four times the mean and half a second at least, added half to the failure probability, whatever the spread of the latencies, and a timeout counted as a failure of now. Now the home keeps the distribution of the service's latencies. Each request without a response raises the odds that its target is failing by how rarely a healthy one takes so long. A request that started a second or more before another one that was served says nothing more, nor does its timeout.

--- a/packages/core/src/tanagerreach_core/_placement.py
+++ b/packages/core/src/tanagerreach_core/_placement.py
@@ -262,10 +262,16 @@
             return None
         state.complete(key)
         before = state.failure_estimator.failure_probability(now_s)
-        # A timeout that is shorter than a healthy target may need says nothing about the target.
-        if outcome is not Outcome.TIMEOUT or latency_s >= self._latency.try_timeout_s:
+        if outcome is Outcome.SUCCESS:
+            state.record_served(placed.started_s)
+        # A timeout that is shorter than a healthy target may need says nothing about the target,
+        # and one of a request that started before others were served says nothing new.
+        is_conclusive = latency_s >= self._latency.try_timeout_s and not state.has_served_since(
+            placed.started_s
+        )
+        if outcome is not Outcome.TIMEOUT or is_conclusive:
             state.observe(key[0], outcome, latency_s, self.service_time_s, now_s)
-        self._ranking.update(state, self.service_time_s, now_s)
+        self._ranking.update(state, self._latency, now_s)
         if outcome is Outcome.SUCCESS:
             self._latency.record(latency_s)
             return None
@@ -296,7 +302,7 @@
             key[0], notice, sent_s=sent_s, heard_s=heard_s, now_s=now_s
         )
         if is_changed:
-            self._ranking.update(state, self.service_time_s, now_s)
+            self._ranking.update(state, self._latency, now_s)
         return is_changed
 
     def _record_result(
@@ -312,7 +318,7 @@
         estimates = sorted(
             (
                 (
-                    -round(state.request_failure_probability(self.service_time_s, now_s), 3),
+                    -round(state.request_failure_probability(self._latency, now_s), 3),
                     int(MS_PER_S * state.failure_estimator.age_s(now_s)),
                     name,
                 )
@@ -444,7 +450,7 @@
         ahead = self._queue.count_ahead_of(placement_request.priority, placement_request.workspace)
         if not ahead:
             return 0.0
-        self._ranking.evaluate(self.service_time_s, now_s)
+        self._ranking.evaluate(self._latency, now_s)
         return ahead * self.service_time_s / max(1.0, self._ranking.capacity)
 
     def _try_place(self, request: WaitingRequest, now_s: float) -> PlacementReply | None:
@@ -458,7 +464,7 @@
         self._placed[request.key] = placed
         failure_probability = self._ranking.failure_probability(state.spec.name)
         state.start(placed)
-        self._ranking.update(state, self.service_time_s, now_s)
+        self._ranking.update(state, self._latency, now_s)
         return PlacementReply(
             call_id=placement_request.call_id,
             state=PlacementState.GRANTED,
@@ -495,12 +501,12 @@
             state = self._targets.get(placed.target)
             if state is not None:
                 state.complete(key)
-                self._ranking.update(state, self.service_time_s, now_s)
+                self._ranking.update(state, self._latency, now_s)
 
     # Choice of the target
 
     def _choose(self, request: WaitingRequest, now_s: float) -> TargetState | None:
-        is_evaluated = self._ranking.evaluate(self.service_time_s, now_s)
+        is_evaluated = self._ranking.evaluate(self._latency, now_s)
         if not self._ranking:
             return None
         if self._results.unserved_share(now_s) > HEALTHY_UNSERVED_SHARE_MAX:
--- a/packages/core/src/tanagerreach_core/_target_ranking.py
+++ b/packages/core/src/tanagerreach_core/_target_ranking.py
@@ -9,6 +9,7 @@
 import bisect
 from collections.abc import Iterable
 
+from ._service_latency import ServiceLatency
 from ._start_time_fair_queue import WaitingRequest
 from ._target_state import DISTANCE_WEIGHT, UNTRIED_PREFERENCE, TargetState
 
@@ -58,10 +59,10 @@
         """Evaluate all targets anew at the next use."""
         self._evaluated_s = float("-inf")
 
-    def evaluate(self, usual_s: float, now_s: float) -> bool:
+    def evaluate(self, latency: ServiceLatency, now_s: float) -> bool:
         """Evaluate all targets, if the last evaluation is too old.
 
-        :param usual_s: mean latency of the service.
+        :param latency: latency of the service.
         :returns: whether they were evaluated.
         """
         if now_s - self._evaluated_s < EVALUATION_INTERVAL_S:
@@ -72,15 +73,15 @@
         self._ranked.clear()
         self._probabilities.clear()
         for name, state in self._targets.items():
-            entry = self._assess(name, state, usual_s, now_s)
-            self._capacity += state.capacity(usual_s) * (1 - entry[2])
+            entry = self._assess(name, state, latency, now_s)
+            self._capacity += state.capacity(latency.mean_s) * (1 - entry[2])
             if state.has_room(now_s):
                 self._ranked[name] = entry
         self._entries = sorted(self._ranked.values())
         self._ranked_probabilities = sorted(entry[2] for entry in self._entries)
         return True
 
-    def update(self, state: TargetState, usual_s: float, now_s: float) -> None:
+    def update(self, state: TargetState, latency: ServiceLatency, now_s: float) -> None:
         """Evaluate one target, at which a request started or ended."""
         name = state.spec.name
         if self._targets.get(name) is not state or self._evaluated_s == float("-inf"):
@@ -91,7 +92,7 @@
             del self._ranked_probabilities[
                 bisect.bisect_left(self._ranked_probabilities, former[2])
             ]
-        entry = self._assess(name, state, usual_s, now_s)
+        entry = self._assess(name, state, latency, now_s)
         if state.has_room(now_s):
             self._ranked[name] = entry
             bisect.insort(self._entries, entry)
@@ -148,14 +149,16 @@
                 best, best_cost = state, cost
         return best
 
-    def _assess(self, name: str, state: TargetState, usual_s: float, now_s: float) -> _Entry:
-        probability = state.request_failure_probability(usual_s, now_s)
+    def _assess(
+        self, name: str, state: TargetState, latency: ServiceLatency, now_s: float
+    ) -> _Entry:
+        probability = state.request_failure_probability(latency, now_s)
         self._probabilities[name] = probability
         if probability <= HEALTHY_FAILURE_PROBABILITY_MAX:
             self._healthy.add(name)
         else:
             self._healthy.discard(name)
-        lower_bound = probability + state.selection_cost(usual_s, now_s)
+        lower_bound = probability + state.selection_cost(latency.mean_s, now_s)
         if state.is_untried:
             lower_bound -= UNTRIED_PREFERENCE
         return (lower_bound, self._numbers[name], probability, state)
--- a/packages/core/src/tanagerreach_core/_target_state.py
+++ b/packages/core/src/tanagerreach_core/_target_state.py
@@ -6,6 +6,7 @@
 from ._failure_estimator import FailureEstimator
 from ._outcomes import FAILURES, Outcome
 from ._placement_messages import TargetNotice
+from ._service_latency import ServiceLatency
 from ._start_time_fair_queue import WaitingRequest
 from ._target_limit import TargetLimit
 from ._target_notices import PAUSE_MAX_S
@@ -17,11 +18,11 @@
 COLD_WINDOW_S = 1.0
 # A home that fewer instances use leaves cold targets to others: at most two homes have more.
 COLD_USER_SHARE_MIN = 1 / 3
-# A request in flight for longer than this many times the mean latency raises its target's failure
-# probability.
-OVERDUE_RATIO = 4.0
-OVERDUE_MIN_S = 0.5
-OVERDUE_FAILURE_PROBABILITY = 0.5
+# Share of the requests at a failing target that get no response, rather than a failure at once.
+HANGING_SHARE = 0.4
+# A target that served a request which started so much later than one without a response has likely
+# recovered since.
+RECOVERED_AFTER_S = 1.0
 # Weights of the parts of a target's selection cost, in units of failure probability.
 LOAD_WEIGHT = 0.15
 DISTANCE_WEIGHT = 0.06
@@ -88,6 +89,8 @@
     _unlimited_s: float = float("-inf")
     _shed_until_s: float = 0.0
     _latest_start_s: float = float("-inf")
+    # Latest start of a request that was served.
+    _served_start_s: float = float("-inf")
     failed_s: float = float("-inf")
     """Time of the latest request that failed here."""
     user_share: float = 1.0
@@ -177,6 +180,14 @@
         """Release the slot of a request."""
         self.in_flight.pop(key, None)
 
+    def record_served(self, started_s: float) -> None:
+        """Record that a request was served that started at a time."""
+        self._served_start_s = max(self._served_start_s, started_s)
+
+    def has_served_since(self, started_s: float) -> bool:
+        """Return whether a request was served that started later than a time."""
+        return self._served_start_s > started_s
+
     def observe(
         self, requester: str, outcome: Outcome, latency_s: float, usual_s: float, now_s: float
     ) -> None:
@@ -213,20 +224,26 @@
         """Time of its latest request."""
         return self._latest_start_s
 
-    def request_failure_probability(self, usual_s: float, now_s: float) -> float:
+    def request_failure_probability(self, latency: ServiceLatency, now_s: float) -> float:
         """Return the probability that a request sent now fails.
 
-        It adds failed connections and overdue requests to what the failure estimator says.
+        It adds failed connections, and requests without a response, to what the failure estimator
+        says: the longer they take, the more likely the target is failing.
 
-        :param usual_s: mean latency of the service.
+        :param latency: latency of the service.
         """
         if now_s < self.failure_estimator.down_until_s:
             return 1.0
         probability = self.failure_estimator.failure_probability(now_s)
-        overdue_s = max(OVERDUE_MIN_S, OVERDUE_RATIO * usual_s)
-        if any(now_s - placed.started_s > overdue_s for placed in self.in_flight.values()):
-            probability += OVERDUE_FAILURE_PROBABILITY
-        return min(1.0, probability)
+        for placed in self.in_flight.values():
+            elapsed_s = now_s - placed.started_s
+            recovered_s = placed.started_s + RECOVERED_AFTER_S
+            if elapsed_s <= latency.mean_s or self.has_served_since(recovered_s):
+                continue
+            late_share = latency.late_share(elapsed_s)
+            when_failing = probability * (HANGING_SHARE + (1 - HANGING_SHARE) * late_share)
+            probability = when_failing / (when_failing + (1 - probability) * late_share)
+        return probability
 
     def has_room(self, now_s: float) -> bool:
         """Return whether the target may get one more request."""
--- a/packages/core/tests/test_placement.py
+++ b/packages/core/tests/test_placement.py
@@ -261,6 +261,34 @@
             placement.complete(key, outcome, 0.01, b"", now_s + 0.01)
         self.assertLessEqual(failed_count, len(failing) + length_s / 3.5)
 
+    def test_target_without_a_response_gets_further_requests(self):
+        """Guards against requests to a target that hangs, until its first request times out.
+
+        Load pattern: responses take 0.2 s, and a target has not responded for twice that time.
+        """
+        placement = make_placement(make_targets(2))
+        requester = Requester(placement)
+        for number in range(300):
+            key, _ = requester.place(0.1 * number)
+            placement.complete(key, Outcome.SUCCESS, SERVICE_TIME_S, b"", 0.1 * number + 0.2)
+        _, hanging = requester.place(31.0)
+        digest = placement.digest("s", 31.4)
+        self.assertGreater(digest.failure_probabilities[hanging.target][0], 0.5)
+
+    def test_old_timeout_counts_against_a_target_that_serves(self):
+        """Guards against a target that is avoided for a fault which ended before it served others.
+
+        Load pattern: a request hangs until its deadline, while the target has recovered.
+        """
+        placement = make_placement(make_targets(1))
+        requester = Requester(placement)
+        hanging, _ = requester.place(0.0)
+        for number in range(1, 6):
+            key, _ = requester.place(0.5 * number)
+            placement.complete(key, Outcome.SUCCESS, SERVICE_TIME_S, b"", 0.5 * number + 0.2)
+        placement.complete(hanging, Outcome.TIMEOUT, 3.0, b"", 3.0)
+        self.assertLess(placement.digest("s", 3.0).failure_probabilities["t0"][0], 0.3)
+
     def test_short_route_limits_do_not_count_against_a_target(self):
         """Guards against healthy targets that are avoided because a route has a short timeout.
 
@@ -601,6 +629,41 @@
                 self.assertLess(replay.late / request_count, 0.05)
 
 
+class HangingReplay(Replay):
+    """The same with targets whose failing requests get no response until their deadline."""
+
+    FAILING_S = 3.0
+
+    def take(self, key, reply, now_s, arrived_s):
+        if reply.state is not PlacementState.GRANTED:
+            self.refused += reply.state is PlacementState.REFUSED
+            return
+        target = self.choose(self.random) if self.choose else reply.target
+        self.started[key] = now_s
+        if self.failing.fails(target, now_s, self.random):
+            self.failed += 1
+            heapq.heappush(self.events, (now_s + self.FAILING_S, key, Outcome.TIMEOUT))
+            return
+        self.served += 1
+        ends_s = now_s + self.random.lognormvariate(-1.6, 0.6)
+        heapq.heappush(self.events, (ends_s, key, Outcome.SUCCESS))
+
+
+class HangingByTurnsTest(unittest.TestCase):
+    """Load pattern: targets hang in turn while requests are not retryable."""
+
+    def test_few_requests_meet_a_hanging_target(self):
+        """Guards against requests to targets whose requests in flight show that they hang."""
+        blind_share = placed_share = 0.0
+        for seed in range(4):
+            blind = HangingReplay(seed, 55.0, lambda random: f"t{random.randrange(14)}").run()
+            placed = HangingReplay(seed, 55.0).run()
+            blind_share += blind.failed_share
+            placed_share += placed.failed_share
+            self.assertEqual(placed.refused, 0)
+        self.assertLess(placed_share, 0.3 * blind_share)
+
+
 class OverloadTest(unittest.TestCase):
     """Load pattern: more requests arrive for many seconds than the targets can run."""
 
