--- a/packages/daemon/tests/test_gateway_followers.py
+++ b/packages/daemon/tests/test_gateway_followers.py
@@ -25,15 +25,11 @@
 
 
 class FollowerTest(unittest.TestCase):
-    """Calls to a store that replies intermittently to the instances of a large fleet."""
+    """Calls to a store by the instances of a large fleet."""
 
-    def test_peers_cause_few_checks(self):
-        """Guards against a flood of store calls when all instances lose and regain the store."""
-        source = CountingSource()
-        directory = mock.Mock(spec=TargetDirectory)
-        directory.__len__ = lambda _self: 1
-        directory.revision = 0
-        follower = TargetFollower(
+    @staticmethod
+    def make_follower(source, directory):
+        return TargetFollower(
             platform=mock.Mock(target_items=source),
             directory=directory,
             on_change=lambda: None,
@@ -41,6 +37,14 @@
             log=mock.Mock(),
             random=Random(1),
         )
+
+    def test_peers_cause_few_checks(self):
+        """Guards against a flood of store calls when all instances lose and regain the store."""
+        source = CountingSource()
+        directory = mock.Mock(spec=TargetDirectory)
+        directory.__len__ = lambda _self: 1
+        directory.revision = 0
+        follower = self.make_follower(source, directory)
         started_s = _clock.now_s()
         with mock.patch.object(_clock, "now_s", lambda: started_s + 1.0):
             loop = gevent.spawn(lambda: [follower.run() for _ in range(1000)])
@@ -58,14 +62,7 @@
         source = mock.Mock()
         source.read.return_value = Listing(items=[], revision=1)
         directory = TargetDirectory(decode=mock.Mock(), on_skipped=mock.Mock())
-        follower = TargetFollower(
-            platform=mock.Mock(target_items=source),
-            directory=directory,
-            on_change=lambda: None,
-            on_availability=lambda: None,
-            log=mock.Mock(),
-            random=Random(1),
-        )
+        follower = self.make_follower(source, directory)
         loop = gevent.spawn(lambda: [follower.run() for _ in range(1000)])
         gevent.sleep(1.0)
         loop.kill()
