--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# Exits with 1 if LOST was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: no SIGTERM.
+exec python3 "$(dirname "$0")/case.py"
