--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -134,23 +134,24 @@
         self.answer(200, text, headers)
 
     def answer_in_chunks(self, headers):
-        """Answer in chunks; a faulty target breaks some of its answers off."""
+        """Answer in chunks; a faulty target stops in some of its answers and stays connected."""
         target = self.server.target
         self.send_response_only(200)
         for name, value in headers.items():
             self.send_header(name, value)
         self.send_header("Transfer-Encoding", "chunked")
         self.end_headers()
-        is_broken = target.breaks_each and len(target.runs) % target.breaks_each == 0
-        parts = target.parts[:1] if is_broken else target.parts
+        hangs = bool(target.hangs) and target.hangs[len(target.runs) % len(target.hangs)]
         with contextlib.suppress(OSError):
-            for part in parts:
+            for part in target.parts:
                 self.wfile.write(b"%x\r\n%s\r\n" % (len(part), part))
-            if not is_broken:
-                self.wfile.write(b"0\r\n\r\n")
-        if is_broken:
-            target.record(f"{target.name} breaks off an answer")
-            self.close_connection = True
+                if hangs:
+                    target.record(f"{target.name} stops in an answer")
+                    # Ends when the caller closes the connection.
+                    self.connection.recv(1)
+                    self.close_connection = True
+                    return
+            self.wfile.write(b"0\r\n\r\n")
 
     def answer(self, status, body, headers):
         self.send_response_only(status)
@@ -185,8 +186,8 @@
         self.state = "ready"
         # Parts of each answer, which is then sent in chunks.
         self.parts = []
-        # A faulty target breaks off each answer of this number, 0 for none.
-        self.breaks_each = 0
+        # Which of a faulty target's answers, in turn, stop after the first part.
+        self.hangs = ()
         self.acked_leaving_s = None
         self.free_slots = threading.Semaphore(slots)
         self._store = store
