Start the call ids of each run at a random number

After a restart, requests were sent to a target that had drained since.

Cause: peers know an instance by its name, and PeerCalls counted call ids from 1 in each run. A home's reply to the killed run was delivered to a call of the new run with the same id, and the home took the new run's requests for repeats of the old run's and gave the kept grants again.

Why it works: ids of two runs differ, so all that is kept or matched by name and id is told apart at one place: waiting calls, queued and placed requests, kept replies, acknowledgements, tries that broke. A reply that no call waits for releases its placement already. The digest's test has ids of the new size.

--- a/packages/daemon/src/tanagerreachd/gateway/_peer_calls.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_peer_calls.py
@@ -1,6 +1,7 @@
 """Requests to peers over datagrams that may be lost, with retransmission and reply matching."""
 
 import itertools
+import secrets
 from collections.abc import Callable
 from typing import Any
 
@@ -12,6 +13,8 @@
 SEND_COUNT = 3
 COMPLETION_RETRY_S = 0.1
 COMPLETION_SEND_COUNT = 4
+# Call ids start at a random number of this size, which leaves room below the 64 bits of a message.
+FIRST_CALL_ID_BITS = 62
 
 Send = Callable[[str, Any], None]
 
@@ -19,6 +22,9 @@
 class PeerCalls:
     """Sends requests, retransmits them, and passes each reply to the greenlet that waits for it.
 
+    Peers know an instance by its name and may still hold calls of its earlier run. The ids of each
+    run therefore start at a random number, so that no run uses an id of another.
+
     :param send: sends a message to an address.
     """
 
@@ -26,7 +32,8 @@
 
     def __init__(self, *, send: Send) -> None:
         self.send = send
-        self._ids = itertools.count(1)
+        # Zero is the id of no call; see ``RESPONDED``.
+        self._ids = itertools.count(secrets.randbits(FIRST_CALL_ID_BITS) + 1)
         self._waiting: dict[int, Queue] = {}
         self._unconfirmed: dict[int, tuple[str, Any]] = {}
 
--- /dev/null
+++ b/packages/daemon/tests/test_peer_calls.py
@@ -0,0 +1,182 @@
+"""Calls between instances across restarts, repeats and lost replies."""
+
+import unittest
+from unittest import mock
+
+import gevent
+from tanagerreach_core.config import Configuration, Resolver, Service
+from tanagerreach_core.messages import (
+    PlacementCompletion,
+    PlacementRequest,
+    PlacementState,
+)
+from tanagerreach_core.placement import CrashStreaks, PeerTable
+from tanagerreach_core.traffic import Outcome
+from tanagerreachd.gateway import ListedTarget, Listing, StoredItem
+from tanagerreachd.gateway._home_server import HomeServer
+from tanagerreachd.gateway._peer_calls import PeerCalls
+from tanagerreachd.gateway._placement_client import PlacementClient
+from tanagerreachd.gateway._target_directory import TargetDirectory
+
+HOME_ADDRESS = "10.0.0.9:7100"
+SERVICES = ("s1", "s2")
+
+
+def decoded(item):
+    service, state = item.value.decode().split(" ")
+    return ListedTarget(
+        name=item.key,
+        service=service,
+        address="10.0.0.1:80",
+        data_centre="a",
+        slot_count=1,
+        is_leaving=state == "leaving",
+        cold_left_s=0.0,
+        started_ms=0,
+        sequence=0,
+    )
+
+
+class InstanceRun:
+    """One run of the instance i1, whose messages reach the home at once."""
+
+    def __init__(self, home):
+        self.calls = PeerCalls(send=self.send)
+        self.client = PlacementClient(
+            own_name="i1",
+            peer_table=mock.Mock(homes=lambda *_arguments, **_named: [mock.Mock(address="h")]),
+            calls=self.calls,
+            homes=mock.Mock(),
+            crashes=CrashStreaks(),
+            on_home_lost=mock.Mock(),
+            log=mock.Mock(),
+        )
+        self.home = home
+        home.run = self
+        self.is_killed = False
+
+    def send(self, _address, message):
+        if not self.is_killed:
+            self.home.receive(message)
+
+    def receive(self, reply):
+        """Handle a reply as the instance does."""
+        if not self.calls.deliver(reply):
+            self.client.release_late(HOME_ADDRESS, reply)
+
+    def acquire(self, service):
+        return self.client.acquire(
+            lambda call_id, accepts_stale: PlacementRequest(
+                call_id=call_id,
+                service=service,
+                workspace="w",
+                priority=1,
+                remaining_ms=3000,
+                objective_ms=3000,
+                is_retryable=False,
+                is_retry=False,
+                data_centre="a",
+                fingerprint=b"",
+                accepts_stale=accepts_stale,
+            )
+        )
+
+    def acquire_later(self, service):
+        """Acquire a placement in a greenlet, and let it begin."""
+        greenlet = gevent.spawn(self.acquire, service)
+        gevent.sleep(0.01)
+        return greenlet
+
+
+class Home:
+    """The home of two services; its replies reach the instance's latest run."""
+
+    def __init__(self):
+        self.run = None
+        self.directory = TargetDirectory(decode=decoded, on_skipped=mock.Mock())
+        configuration = Configuration.from_objects(1, [Service(name=name) for name in SERVICES])
+        resolver = Resolver(configuration)
+        self.server = HomeServer(
+            resolver=lambda: resolver,
+            peer_table=PeerTable(own_name="i0", heartbeat_s=0.8),
+            directory=self.directory,
+            keep_targets_current=lambda: None,
+            is_current=lambda: True,
+            list_age_ms=lambda: 0,
+            floor_share=0.7,
+            heartbeat_s=1.5,
+            crashes=CrashStreaks(),
+            log=mock.Mock(),
+        )
+        self._revision = 0
+
+    def set_targets(self, **values):
+        self._revision += 1
+        items = [
+            StoredItem(key=name, value=value.encode(), revision=self._revision)
+            for name, value in values.items()
+        ]
+        self.directory.replace(Listing(items=items, revision=self._revision), 0.0)
+        self.server.targets_changed()
+
+    def complete(self, placement):
+        """Record that a placed request succeeded."""
+        completion = PlacementCompletion(
+            call_id=placement.placement_request.call_id,
+            service=placement.reply.service,
+            target=placement.reply.target,
+            outcome=Outcome.SUCCESS,
+            latency_ms=5,
+        )
+        self.server.complete("i1", completion)
+
+    def receive(self, message):
+        if isinstance(message, PlacementRequest):
+            self.server.place("i1", message, lambda reply: self.run.receive(reply))
+        else:
+            self.server.complete("i1", message)
+            self.run.calls.record_ack(message.call_id)
+
+
+class RestartedInstanceTest(unittest.TestCase):
+    """Peers know an instance by its name, and hold what its earlier run asked for."""
+
+    def setUp(self):
+        self.home = Home()
+
+    def start_run(self):
+        return InstanceRun(self.home)
+
+    def test_grant_to_an_earlier_run_is_used(self):
+        """Guards against a grant to a killed run that sends a request to another service."""
+        self.home.set_targets(t1="s1 ready", t2="s2 ready")
+        earlier = self.start_run()
+        running = earlier.acquire("s1")
+        earlier.acquire_later("s1")
+        earlier.is_killed = True
+        later = self.start_run()
+        later.acquire("s2")
+        waiting = later.acquire_later("s2")
+        # The target ends the killed run's request, and the home places the queued one.
+        self.home.complete(running)
+        gevent.sleep(0.01)
+        self.assertFalse(waiting.ready(), waiting.value)
+        # The placement that no request uses is released.
+        self.assertIs(later.acquire("s1").reply.state, PlacementState.GRANTED)
+        waiting.kill()
+
+    def test_kept_grant_is_given_to_a_later_run(self):
+        """Guards against a restarted instance that gets its earlier run's grants again.
+
+        Their target has left since.
+        """
+        self.home.set_targets(t1="s1 ready")
+        earlier = self.start_run()
+        placement = earlier.acquire("s1")
+        earlier.client.complete(placement, Outcome.SUCCESS, 0.01)
+        self.home.set_targets(t1="s1 leaving", t2="s1 ready")
+        self.assertEqual(self.start_run().acquire("s1").reply.target, "t2")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/daemon/tests/test_peer_codec.py
+++ b/packages/daemon/tests/test_peer_codec.py
@@ -100,7 +100,7 @@
     for number in range(1000):
         fingerprint = number.to_bytes(16, "big")
         for call_id in range(3):
-            key = (f"front-data-centre-a-{100 + call_id}", 2**31 + call_id)
+            key = (f"front-data-centre-a-{100 + call_id}", 2**62 + call_id)
             crashes.observe(fingerprint, key, Outcome.BROKEN_BEFORE_HEAD, 0.0)
     return home.digest("service", 50.0)
 
