Do not release a placement in use when its grant arrives again

Found while listing the users of kept replies; no caller reported it.

What happens: an instance sends a placement request again after 50 ms. When the first copy was only late, the home gives the kept grant twice; no call waits for the second one, and release_late reported the placement as cancelled while its request ran. The home then gave the slot to a further request, and ignored the request's own outcome.

Cause: a grant that nobody waits for always counted as unused. Evidence: test_repeated_grant_releases_a_placement_in_use (a second request got the only slot) and test_repeated_grant_replaces_the_outcome_of_its_request (CANCELLED in place of BROKEN_AFTER_HEAD) failed before, pass now. Ruled out: grants of homes that were given up, and of earlier runs; these have ids that no request uses, and are released as before.

Why it works: the client knows the grants in use, and PeerCalls the outcomes that are not acknowledged yet; after the acknowledgement the home ignores a release.

--- a/packages/daemon/src/tanagerreachd/gateway/_peer_calls.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_peer_calls.py
@@ -89,6 +89,10 @@
         """Record that a peer acknowledged a message."""
         self._unconfirmed.pop(call_id, None)
 
+    def is_unconfirmed(self, call_id: int) -> bool:
+        """Return whether a message with this call id is sent until a peer acknowledges it."""
+        return call_id in self._unconfirmed
+
     def _resend(self, call_id: int, sent_count: int) -> None:
         if call_id not in self._unconfirmed:
             return
--- a/packages/daemon/src/tanagerreachd/gateway/_placement_client.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_placement_client.py
@@ -77,6 +77,8 @@
         self._homes = homes
         self._crashes = crashes
         self._log = log
+        # Call ids of the grants that requests use.
+        self._in_use: set[int] = set()
 
     def acquire(self, make_request: Callable[[int, bool], PlacementRequest]) -> Placement:
         """Wait for a placement at a target, or for a refusal.
@@ -88,6 +90,8 @@
         started_s = _clock.now_s()
         placement = self._acquire(make_request)
         placement.waited_s = _clock.now_s() - started_s
+        if placement.is_granted:
+            self._in_use.add(placement.placement_request.call_id)
         return placement
 
     def _acquire(self, make_request: Callable[[int, bool], PlacementRequest]) -> Placement:
@@ -129,6 +133,7 @@
         :param notice_age_s: time since that response.
         """
         placement_request = placement.placement_request
+        self._in_use.discard(placement_request.call_id)
         self._crashes.observe_own(
             placement_request.fingerprint,
             placement_request.call_id,
@@ -180,8 +185,13 @@
             self._calls.send(homes[0].address, RefusalNotice(service=service))
 
     def release_late(self, source: str, reply: PlacementReply) -> None:
-        """Release a placement that was granted too late for its request."""
-        if reply.state is not PlacementState.GRANTED:
+        """Release a placement that was granted too late for its request.
+
+        A grant that a request uses or has used arrives again when its home got the placement
+        request twice; it is not released, since the request reports its own outcome.
+        """
+        is_repeated = reply.call_id in self._in_use or self._calls.is_unconfirmed(reply.call_id)
+        if reply.state is not PlacementState.GRANTED or is_repeated:
             return
         completion = PlacementCompletion(
             call_id=reply.call_id,
--- a/packages/daemon/tests/test_peer_calls.py
+++ b/packages/daemon/tests/test_peer_calls.py
@@ -14,7 +14,7 @@
 from tanagerreach_core.traffic import Outcome
 from tanagerreachd.gateway import ListedTarget, Listing, StoredItem
 from tanagerreachd.gateway._home_server import HomeServer
-from tanagerreachd.gateway._peer_calls import PeerCalls
+from tanagerreachd.gateway._peer_calls import COMPLETION_RETRY_S, PeerCalls
 from tanagerreachd.gateway._placement_client import PlacementClient
 from tanagerreachd.gateway._target_directory import TargetDirectory
 
@@ -93,6 +93,7 @@
 
     def __init__(self):
         self.run = None
+        self.outcomes = []
         self.directory = TargetDirectory(decode=decoded, on_skipped=mock.Mock())
         configuration = Configuration.from_objects(1, [Service(name=name) for name in SERVICES])
         resolver = Resolver(configuration)
@@ -134,6 +135,7 @@
         if isinstance(message, PlacementRequest):
             self.server.place("i1", message, lambda reply: self.run.receive(reply))
         else:
+            self.outcomes.append(message.outcome)
             self.server.complete("i1", message)
             self.run.calls.record_ack(message.call_id)
 
@@ -177,6 +179,35 @@
         self.home.set_targets(t1="s1 leaving", t2="s1 ready")
         self.assertEqual(self.start_run().acquire("s1").reply.target, "t2")
 
+    def test_repeated_grant_releases_a_placement_in_use(self):
+        """Guards against more requests at a target than it has slots.
+
+        A placement request that was sent again arrives when its first grant is in use already.
+        """
+        self.home.set_targets(t1="s1 ready")
+        run = self.start_run()
+        placement = run.acquire("s1")
+        self.home.receive(placement.placement_request)
+        waiting = run.acquire_later("s1")
+        self.assertFalse(waiting.ready(), waiting.value)
+        run.client.complete(placement, Outcome.SUCCESS, 0.01)
+        gevent.sleep(0.01)
+        self.assertIs(waiting.value.reply.state, PlacementState.GRANTED)
+
+    def test_repeated_grant_replaces_the_outcome_of_its_request(self):
+        """Guards against a target's failure that its home never learns of.
+
+        The report of the outcome is lost once, and the repeated grant arrives before it.
+        """
+        self.home.set_targets(t1="s1 ready")
+        run = self.start_run()
+        placement = run.acquire("s1")
+        with mock.patch.object(run, "is_killed", True):
+            run.client.complete(placement, Outcome.BROKEN_AFTER_HEAD, 0.01)
+        self.home.receive(placement.placement_request)
+        gevent.sleep(2 * COMPLETION_RETRY_S)
+        self.assertEqual(self.home.outcomes, [Outcome.BROKEN_AFTER_HEAD])
+
 
 if __name__ == "__main__":
     unittest.main()
