Match a prefix with a last slash only with the paths below it

The platform's page: the route with the longest pathPrefix that begins the path; /browse/ does not begin /browse.

Cause: the table removed the last slash of each prefix and compared whole segments. Two routes /a and /a/ replaced each other. Evidence: test_path_without_the_last_slash_of_a_prefix_matches, test_prefixes_that_differ_in_the_last_slash_share_a_route, and test_agrees_with_a_scan, which now draws prefixes with and without a last slash, failed before. Ruled out: an older configuration (all instances had the new one in force), and the method, which is compared apart.

Why it works: prefixes are kept as they are, and a path's prefixes are tried with and without their last slash, the longest first. The product's own prefixes have no last slash and match as before.

--- a/packages/core/src/tanagerreach_core/_resolution.py
+++ b/packages/core/src/tanagerreach_core/_resolution.py
@@ -251,7 +251,11 @@
 
 
 class _PrefixTable:
-    """Routes of one host, indexed by path prefix and method."""
+    """Routes of one host, indexed by path prefix and method.
+
+    A prefix without a last slash matches a path that equals it and the paths below it, a prefix
+    with one only the latter.
+    """
 
     __slots__ = ("_by_prefix", "_max_depth")
 
@@ -260,7 +264,7 @@
         self._max_depth = 0
 
     def add(self, route: Route) -> None:
-        prefix = route.path_prefix.rstrip("/")
+        prefix = "" if route.path_prefix == "/" else route.path_prefix
         methods = self._by_prefix.setdefault(prefix, {})
         for method in route.methods or ("",):
             methods[method] = route
@@ -284,7 +288,9 @@
                 return methods
             if not prefix:
                 return None
-            prefix = prefix[: prefix.rindex("/")]
+            # "/a/b" is followed by "/a/", and that by "/a".
+            end = len(prefix) - 1 if prefix.endswith("/") else prefix.rindex("/") + 1
+            prefix = prefix[:end]
 
 
 def _index_hosts(routes: Iterable[Route]) -> dict[str | None, _PrefixTable]:
--- a/packages/core/tests/test_resolution.py
+++ b/packages/core/tests/test_resolution.py
@@ -131,6 +131,38 @@
             with self.subTest(path=path):
                 self.assertEqual(self.name_of(path), expected)
 
+    def test_path_without_the_last_slash_of_a_prefix_matches(self):
+        """Guards against the path /browse that goes to the route of /browse/ instead of /."""
+        resolver = resolver_of(
+            route("all", "/", host="h"),
+            route("below", "/browse/", host="h"),
+            route("deep", "/browse/a/b/", host="h"),
+            route("exact", "/browse/a", host="h"),
+        )
+        for path, expected in (
+            ("/browse", "all"),
+            ("/browser/x", "all"),
+            ("/browse/", "below"),
+            ("/browse/x/", "below"),
+            ("/browse/a", "exact"),
+            ("/browse/a/b", "exact"),
+            ("/browse/a/b/", "deep"),
+            ("/browse/a/b/c/d", "deep"),
+            ("/browse/ab", "below"),
+        ):
+            with self.subTest(path=path):
+                found = resolver.find_route("h", "POST", path)
+                self.assertEqual(found.ok_value.route.name, expected)
+
+    def test_prefixes_that_differ_in_the_last_slash_share_a_route(self):
+        """Guards against the routes /a and /a/ that replace each other."""
+        routes = [route("at", "/a", host="h"), route("below", "/a/", host="h")]
+        for added in (routes, routes[::-1]):
+            resolver = resolver_of(*added)
+            for path, expected in (("/a", "at"), ("/a/", "below"), ("/a/b", "below")):
+                found = resolver.find_route("h", "GET", path)
+                self.assertEqual(found.ok_value.route.name, expected)
+
     def test_methods_do_not_fall_through(self):
         """Guards against a method that falls through to a shorter prefix with other rules."""
         self.assertEqual(self.name_of("/catalogue/items/new", "POST"), "post")
@@ -160,14 +192,23 @@
             self.assertEqual((found.idempotent, found.timeout_s), (idempotent, timeout_s))
         self.assertIsNone(self.resolver.find_route("any", "GET", "/nothing").ok_value.service)
 
-    @given(st.lists(st.lists(st.sampled_from("ab"), max_size=3), unique_by=tuple), st.data())
+    @given(
+        st.lists(st.text("ab/", max_size=5).map(lambda text: "/" + text), unique=True), st.data()
+    )
     def test_agrees_with_a_scan(self, prefixes, data):
         """Guards against prefixes that the index misses."""
-        made = [route(f"r{number}", "/" + "/".join(parts)) for number, parts in enumerate(prefixes)]
+        prefixes = [prefix for prefix in prefixes if "//" not in prefix]
+        made = [route(f"r{number}", prefix) for number, prefix in enumerate(prefixes)]
         resolver = Resolver(Configuration.from_objects(1, made))
         parts = data.draw(st.lists(st.sampled_from("abc"), max_size=5))
-        found = resolver.find_route("", "GET", "/" + "/".join(parts))
-        matching = [prefix for prefix in prefixes if parts[: len(prefix)] == prefix]
+        path = "/" + "/".join(parts) + ("/" if parts and data.draw(st.booleans()) else "")
+        found = resolver.find_route("", "GET", path)
+        matching = [
+            prefix
+            for prefix in prefixes
+            if path == prefix or path.startswith(prefix.removesuffix("/") + "/")
+            if path != prefix.removesuffix("/") or not prefix.endswith("/") or prefix == "/"
+        ]
         if not matching:
             self.assertTrue(found.is_err())
             return
