Find a platform's routes by the path as received

Segments were decoded and path parameters removed, so /%62rowse/x and /browse;v=1/x were run by the service of /browse/, which begins neither.

The product's daemon forwards normalised paths to backend servers that may decode them, and goes on comparing decoded. The gateway forwards the path as received, so the dialect decides: the platform's compares as received.

test_encoded_path_matches_a_prefix_that_does_not_begin_it shows both; before, the resolver had only the decoded form, and the platform's paths went to /browse/.

--- a/packages/core/src/tanagerreach_core/_resolution.py
+++ b/packages/core/src/tanagerreach_core/_resolution.py
@@ -65,9 +65,12 @@
     :param configuration: a valid configuration.
     :param previous: resolver of an earlier revision; an index whose objects are the same is
         reused.
+    :param decodes_paths: whether paths are compared with prefixes decoded and without path
+        parameters, or as received.
     """
 
     __slots__ = (
+        "_decodes_paths",
         "_host_tables",
         "_key_names",
         "_limit_index",
@@ -76,8 +79,15 @@
         "configuration",
     )
 
-    def __init__(self, configuration: Configuration, previous: "Resolver | None" = None) -> None:
+    def __init__(
+        self,
+        configuration: Configuration,
+        previous: "Resolver | None" = None,
+        *,
+        decodes_paths: bool = True,
+    ) -> None:
         self.configuration = configuration
+        self._decodes_paths = decodes_paths
         self._key_names = _index_keys(configuration.keys, previous)
         self._index_limits(previous)
         self._index_routes(previous)
@@ -123,10 +133,11 @@
             path = normalise_path(raw_path)
         except PathError as error:
             return Err(RouteRefusal(reason=RefusalReason.BAD_PATH, detail=str(error)))
+        compared = _without_parameters(unquote(path)) if self._decodes_paths else raw_path
         table = self._host_tables.get(normalise_host(host))
-        methods = None if table is None else table.find(path)
+        methods = None if table is None else table.find(compared)
         if methods is None and (general := self._host_tables.get(None)) is not None:
-            methods = general.find(path)
+            methods = general.find(compared)
         if methods is None:
             return Err(RouteRefusal(reason=RefusalReason.NO_ROUTE, detail="no route has the path"))
         route = methods.get(method) or methods.get("")
@@ -250,6 +261,13 @@
     return name.rstrip(".")
 
 
+def _without_parameters(path: str) -> str:
+    """Remove path parameters, since a backend server may ignore them."""
+    if ";" not in path:
+        return path
+    return "/".join(part.partition(";")[0] for part in path.split("/"))
+
+
 class _PrefixTable:
     """Routes of one host, indexed by path prefix and method.
 
@@ -271,15 +289,7 @@
         self._max_depth = max(self._max_depth, prefix.count("/"))
 
     def find(self, path: str) -> Mapping[str, Route] | None:
-        """Find the routes of the longest matching prefix, by method.
-
-        Segments are compared decoded and without path parameters, since a backend server may
-        interpret them in that way.
-        """
-        if "%" in path:
-            path = unquote(path)
-        if ";" in path:
-            path = "/".join(part.partition(";")[0] for part in path.split("/"))
+        """Find the routes of the longest matching prefix, by method."""
         parts = path.split("/", self._max_depth + 1)
         prefix = "/".join(parts[: self._max_depth + 1])
         while True:
--- a/packages/core/tests/test_resolution.py
+++ b/packages/core/tests/test_resolution.py
@@ -154,6 +154,20 @@
                 found = resolver.find_route("h", "POST", path)
                 self.assertEqual(found.ok_value.route.name, expected)
 
+    def test_encoded_path_matches_a_prefix_that_does_not_begin_it(self):
+        """Guards against a path that goes to a route whose prefix it only has once decoded.
+
+        A platform that passes paths on unchanged selects the route by the path as received.
+        """
+        routes = [route("all", "/", host="h"), route("below", "/browse/", host="h")]
+        configuration = Configuration.from_objects(1, [*make_objects(), *routes])
+        for decodes_paths, expected in ((False, "all"), (True, "below")):
+            resolver = Resolver(configuration, decodes_paths=decodes_paths)
+            for path in ("/%62rowse/x", "/browse;v=1/x"):
+                with self.subTest(path=path, decodes_paths=decodes_paths):
+                    found = resolver.find_route("h", "GET", path)
+                    self.assertEqual(found.ok_value.route.name, expected)
+
     def test_prefixes_that_differ_in_the_last_slash_share_a_route(self):
         """Guards against the routes /a and /a/ that replace each other."""
         routes = [route("at", "/a", host="h"), route("below", "/a/", host="h")]
--- a/packages/daemon/src/tanagerreachd/gateway/_dialect.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_dialect.py
@@ -16,6 +16,7 @@
     :param expected_target: the name of the target that a request is meant for.
     :param own_headers: names in lower case that callers cannot set for targets.
     :param targets: how responses of targets are read.
+    :param decodes_paths: whether paths are decoded to find their route.
     """
 
     request_id: str
@@ -25,3 +26,4 @@
     expected_target: str
     own_headers: frozenset[str]
     targets: TargetDialect
+    decodes_paths: bool = True
--- a/packages/daemon/src/tanagerreachd/gateway/_instance.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_instance.py
@@ -111,6 +111,7 @@
         self._is_ready_logged = False
         self._started_s = _clock.now_s()
         self._resolver: Resolver | None = None
+        self._decodes_paths = dialect.decodes_paths
         self._limits = DEFAULT_LIMITS
         self._loops = Loops(on_failure=log.failure)
         self._metrics = Metrics()
@@ -425,7 +426,9 @@
     # State
 
     def _apply_state(self, state: OperatorState) -> None:
-        self._resolver = Resolver(state.configuration, self._resolver)
+        self._resolver = Resolver(
+            state.configuration, self._resolver, decodes_paths=self._decodes_paths
+        )
         limits = state.caller_limits
         # After a change, callers may still rely on the longer idle time for a while.
         idle_time_s = max(limits.idle_time_s, self._limits.idle_time_s)
