Do not run requests behind a response that closes the connection

Cause: while the closing response is sent, the handler of the next request already waits for its first byte. It checked before the wait whether the connection closes, but not after it; the receiving side stays open for a second. Evidence: test_request_behind_a_closing_response_runs (whole, cut in its line, cut in its head, with a body) and test_request_line_begun_before_a_closing_response_runs failed before. Ruled out: the end of the process (seconds later), and a closing response before that of a request that was read: test_accepted_requests_of_a_closing_connection_are_lost passed before too.

Why it works: the check is at the one place where a request begins, after the wait. What is read then is discarded until the caller closes, as the rest of the input was before; callers send such requests again elsewhere.

--- a/packages/daemon/src/tanagerreachd/gateway/_pipelined_requests.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_pipelined_requests.py
@@ -139,12 +139,17 @@
         return super().must_close() and self._pipeline.newest is self
 
     def read_requestline(self) -> str:
-        """Wait for a request; note when the connection was idle for too long instead."""
+        """Wait for a request; note when the connection was idle for too long instead.
+
+        :returns: the request line, or an empty string at the end of the requests. A caller sends
+            what follows a response that closes the connection again elsewhere, so it must not run.
+        """
         try:
-            return super().read_requestline()
+            line = super().read_requestline()
         except TimeoutError:
             self.has_timed_out = True
             raise
+        return "" if self._pipeline.is_closing else line
 
     def read_request(self, raw_requestline: str) -> bool:
         """Read and check the request head, and append the request to the pipeline."""
--- a/packages/daemon/tests/test_pipelined_requests.py
+++ b/packages/daemon/tests/test_pipelined_requests.py
@@ -15,6 +15,8 @@
 LIMITS = HttpLimits(header_bytes=2048, header_time_s=0.3, idle_time_s=5.0)
 # Time that a request takes at its target, longer than any caller waits here.
 TARGET_TIME_S = 3.0
+SHORT_TARGET_TIME_S = 0.2
+TARGET_TIMES_S = {"/fast": 0.0, "/soon": SHORT_TARGET_TIME_S}
 # A target still at work this long after its caller left breaks the platform's rule GONE.
 CANCEL_LIMIT_S = 0.5
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -58,7 +60,7 @@
         end_watch = self.watch.watch(environ) if environ["REQUEST_METHOD"] == "POST" else None
         self.started.append(path)
         try:
-            gevent.sleep(0.0 if path == "/fast" else TARGET_TIME_S)
+            gevent.sleep(TARGET_TIMES_S.get(path, TARGET_TIME_S))
         except CallerDisconnectedError:
             self.ended.append(path)
             raise
@@ -123,6 +125,74 @@
             self.assertTrue(connection.recv(65536).startswith(b"HTTP/1.1 200 "))
         self.assertEqual(self.ended, [])
 
+    def send_behind_closing_response(self, first, later):
+        """Send a request behind a response that closes the connection, as if they crossed.
+
+        :returns: what the caller receives.
+        """
+        with green_socket.create_connection(self.server.address) as connection:
+            connection.settimeout(2.0)
+            connection.sendall(first)
+            received = connection.recv(65536)
+            self.assertIn(b"Connection: close", received)
+            for part in later:
+                connection.sendall(part)
+                gevent.sleep(0.05)
+            with contextlib.suppress(ConnectionError):
+                while data := connection.recv(65536):
+                    received += data
+        gevent.sleep(0.05)
+        self.assertEqual(self.server.active_count, 0)
+        return received
+
+    def test_request_behind_a_closing_response_runs(self):
+        """Guards against a request that runs although its caller can get no response.
+
+        The caller had not received the closing response when it sent the request, and sends it
+        again elsewhere.
+        """
+        self.server.begin_drain()
+        whole = get("/late")
+        for later in ([whole], [whole[:7], whole[7:]], [whole[:-2], whole[-2:]], [post("/late")]):
+            with self.subTest(later=later):
+                received = self.send_behind_closing_response(get("/fast"), later)
+                self.assertEqual(received.count(b"HTTP/1.1 200 "), 1)
+                self.assertEqual(set(self.started), {"/fast"})
+
+    def test_request_behind_a_refusal_runs(self):
+        """Guards against a request that runs behind a refusal that closes the connection."""
+        refused = b"GET /bad HTTP/1.1\r\n\r\n"
+        received = self.send_behind_closing_response(refused, [get("/late")])
+        self.assertTrue(received.startswith(b"HTTP/1.1 400 "), received)
+        self.assertEqual(self.started, [])
+
+    def test_request_line_begun_before_a_closing_response_runs(self):
+        """Guards against a request of which a part was read when the connection was closed."""
+        whole = get("/late")
+        with green_socket.create_connection(self.server.address) as connection:
+            connection.settimeout(2.0)
+            connection.sendall(get("/soon") + whole[:7])
+            gevent.sleep(0.1)
+            self.server.begin_drain()
+            self.assertIn(b"Connection: close", connection.recv(65536))
+            connection.sendall(whole[7:])
+            self.assertEqual(connection.recv(65536), b"")
+            gevent.sleep(0.05)
+        self.assertEqual(self.started, ["/soon"])
+
+    def test_accepted_requests_of_a_closing_connection_are_lost(self):
+        """Guards against a closing response before those of requests that were read."""
+        with green_socket.create_connection(self.server.address) as connection:
+            connection.settimeout(2.0)
+            connection.sendall(get("/soon") + get("/fast") + get("/soon"))
+            gevent.sleep(0.05)
+            self.server.begin_drain()
+            received = b""
+            while data := connection.recv(65536):
+                received += data
+        self.assertEqual(received.count(b"HTTP/1.1 200 "), 3)
+        self.assertEqual(received.count(b"Connection: close"), 1)
+
 
 if __name__ == "__main__":
     unittest.main()
