Keep a connection whose response head did not announce its end

Callers would see: SIGTERM arrives between the head and the end of the response to a request with a body. The connection was then closed without having been announced, and a request behind it, not read yet, turned the close into a reset, which can lose the end of the response.

Cause: CallerHandler decided anew after the response whether the connection closes. Evidence: test_connection_closes_after_a_response_that_keeps_it got ConnectionResetError before. Ruled out: an unread body, which ends the connection as before (ends_connection).

Why it works: the connection does what its head said. A stop closes it once it is idle, or with its next response.

--- a/packages/daemon/src/tanagerreachd/_http_server.py
+++ b/packages/daemon/src/tanagerreachd/_http_server.py
@@ -300,7 +300,8 @@
     def handle_one_response(self) -> None:
         """Run the application; close the connection if it cannot be reused."""
         super().handle_one_response()
-        if self.wsgi_input.abandoned or self.must_close():
+        # A head that was sent before a drain began may have announced that the connection stays.
+        if self.wsgi_input.ends_connection:
             self.close_connection = True
 
     def finalize_headers(self) -> None:
--- a/packages/daemon/tests/test_pipelined_requests.py
+++ b/packages/daemon/tests/test_pipelined_requests.py
@@ -16,7 +16,7 @@
 # Time that a request takes at its target, longer than any caller waits here.
 TARGET_TIME_S = 3.0
 SHORT_TARGET_TIME_S = 0.2
-TARGET_TIMES_S = {"/fast": 0.0, "/soon": SHORT_TARGET_TIME_S}
+TARGET_TIMES_S = {"/fast": 0.0, "/parts": 0.0, "/soon": SHORT_TARGET_TIME_S}
 # A target still at work this long after its caller left breaks the platform's rule GONE.
 CANCEL_LIMIT_S = 0.5
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -67,9 +67,18 @@
         finally:
             if end_watch is not None:
                 end_watch()
+        if path == "/parts":
+            start_response("200 OK", [("Content-Length", "4")])
+            return self.parts()
         start_response("200 OK", [("Content-Length", "0")])
         return []
 
+    @staticmethod
+    def parts():
+        yield b"ab"
+        gevent.sleep(SHORT_TARGET_TIME_S)
+        yield b"cd"
+
     def assert_cancelled(self, *requests, reset=False, before_close=lambda: None):
         """Send requests, close the connection, and expect that all which run are cancelled."""
         connection = green_socket.create_connection(self.server.address)
@@ -193,6 +202,23 @@
         self.assertEqual(received.count(b"HTTP/1.1 200 "), 3)
         self.assertEqual(received.count(b"Connection: close"), 1)
 
+    def test_connection_closes_after_a_response_that_keeps_it(self):
+        """Guards against a stop that resets a connection whose response did not announce it.
+
+        The response's head is sent before the stop begins, and its body ends afterwards.
+        """
+        with green_socket.create_connection(self.server.address) as connection:
+            connection.settimeout(2.0)
+            connection.sendall(post("/parts"))
+            received = connection.recv(65536)
+            self.assertNotIn(b"Connection: close", received)
+            self.server.begin_drain()
+            connection.sendall(get("/fast"))
+            while data := connection.recv(65536):
+                received += data
+        self.assertEqual(received.count(b"HTTP/1.1 200 "), 2)
+        self.assertIn(b"Connection: close", received)
+
 
 if __name__ == "__main__":
     unittest.main()
