Tell in the logs when a placement rests on an older list of targets

A decision for a target that is not listed has is_listed=false, and list_age_ms is the age of the last list that had it; a kept reply has the age of its decision, not of the latest list. dependency regained has kept_count, the number of entries that are kept although they are missing.

test_target_without_an_entry_looks_listed and test_kept_reply_has_the_age_of_another_list guard them.

--- a/packages/core/src/tanagerreach_core/_placement.py
+++ b/packages/core/src/tanagerreach_core/_placement.py
@@ -478,6 +478,7 @@
             free_slot_count=self._free_slot_count(),
             response_age_ms=_age_ms(state.responded_s, now_s),
             started_ms=state.spec.started_ms,
+            is_listed=state.spec.is_listed,
         )
 
     def _min_service_time_s(self) -> float:
--- a/packages/core/src/tanagerreach_core/_placement_messages.py
+++ b/packages/core/src/tanagerreach_core/_placement_messages.py
@@ -10,6 +10,8 @@
 
 from ._outcomes import Outcome
 
+AGE_UNKNOWN_MS = -1
+"""Age of the state of an instance that was not heard yet, or of a list that is not known."""
 RESPONDED = 0
 """Call id of a :data:`CrashReport` that a target responded to the request."""
 
@@ -92,8 +94,8 @@
     time since the target's latest response that the home knows of (negative: none), ``started_ms``
     the target's start time. Some fields explain the decision in logs: ``failure_percent`` is the
     probability that the target fails requests now, ``waiting_count`` the length of the queue,
-    ``free_slot_count`` the number of the targets' free slots, ``list_age_ms`` the age of the home's
-    list of targets.
+    ``free_slot_count`` the number of the targets' free slots, ``list_age_ms`` the age of the latest
+    list of targets that has the target, ``is_listed`` whether that is the home's latest one.
     """
 
     call_id: int
@@ -107,10 +109,11 @@
     failure_percent: int = 0
     waiting_count: int = 0
     free_slot_count: int = 0
-    list_age_ms: int = 0
+    list_age_ms: int = AGE_UNKNOWN_MS
     data_centre: str = ""
     response_age_ms: int = -1
     started_ms: int = 0
+    is_listed: bool = True
 
 
 class PlacementCompletion(msgspec.Struct, kw_only=True, array_like=True, tag=22):
@@ -161,10 +164,6 @@
     call_id: int
 
 
-AGE_UNKNOWN_MS = -1
-"""Age of the state of an instance that was not heard yet."""
-
-
 class PeerState(msgspec.Struct, kw_only=True, array_like=True):
     """What an instance says of itself.
 
--- a/packages/core/src/tanagerreach_core/_target_state.py
+++ b/packages/core/src/tanagerreach_core/_target_state.py
@@ -51,6 +51,7 @@
     :param cold_until_s: time until which it is cold, 0 when it is warm.
     :param cold_rate_per_s: requests per second that it can take while it is cold.
     :param started_ms: its start time by its own clock, 0 when unknown; distinguishes its runs.
+    :param is_listed: whether the latest list of targets has it.
     """
 
     name: str
@@ -60,6 +61,7 @@
     cold_until_s: float = 0.0
     cold_rate_per_s: float = 0.0
     started_ms: int = 0
+    is_listed: bool = True
 
 
 @dataclass(slots=True, kw_only=True)
--- a/packages/daemon/src/tanagerreachd/gateway/_followers.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_followers.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable
 from random import Random
+from typing import Any
 
 import gevent
 from gevent.event import AsyncResult, Event
@@ -82,8 +83,11 @@
         self._lost_s = 0.0
         self.is_lost = False
 
-    def record_success(self) -> bool:
-        """Record a response; return whether the store was unreachable before."""
+    def record_success(self, **inputs: Any) -> bool:
+        """Record a response; return whether the store was unreachable before.
+
+        :param inputs: further fields of the log line.
+        """
         self._backoff.reset()
         was_lost, self.is_lost = self.is_lost, False
         if was_lost:
@@ -93,6 +97,7 @@
                 part=self._part,
                 lost_s=round(_clock.now_s() - self._lost_s, 2),
                 failed_count=self._failed_count,
+                **inputs,
             )
         return was_lost
 
@@ -396,15 +401,17 @@
 
     def _follow(self) -> None:
         changes = self._source.wait(self._directory.revision, TARGET_WAIT_S)
+        is_changed = self._directory.update(changes, _clock.now_s())
         self._record_response()
-        if self._directory.update(changes, _clock.now_s()):
+        if is_changed:
             self._on_change()
         gevent.sleep(TARGET_PAUSE_S)
 
     def _read(self, *, allow_stale: bool) -> None:
         listing = self._source.read(allow_stale=allow_stale)
+        is_changed = self._directory.replace(listing, _clock.now_s())
         self._record_response()
-        if self._directory.replace(listing, _clock.now_s()):
+        if is_changed:
             self._on_change()
 
     @property
@@ -413,15 +420,15 @@
 
     def _record_response(self) -> None:
         self._last_response_s = _clock.now_s()
-        if self._availability.record_success():
+        if self._availability.record_success(kept_count=self._directory.missing_count):
             self._on_availability()
 
     def _handle_failure(self, error: SourceError) -> None:
-        self._directory.record_store_failure()
         was_lost = self._availability.is_lost
         pause_s = self._availability.record_failure(error)
         if not was_lost:
             self._on_availability()
+        self._directory.record_store_failure()
         if not len(self._directory):
             listing = self._peer_listing()
             if listing is not None and self._directory.replace(listing, _clock.now_s()):
--- a/packages/daemon/src/tanagerreachd/gateway/_home_server.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_home_server.py
@@ -6,6 +6,7 @@
 import gevent
 from tanagerreach_core.config import Configuration, Resolver
 from tanagerreach_core.messages import (
+    AGE_UNKNOWN_MS,
     FailureDigest,
     PlacementCompletion,
     PlacementReply,
@@ -32,6 +33,7 @@
 from .._logs import InstanceLog
 from ._target_directory import KnownTarget, TargetDirectory
 
+MS_PER_S = 1000.0
 # Queued requests are dispatched at this interval, and the first ones at each completion.
 DISPATCH_INTERVAL_S = 0.02
 DISPATCHED_AT_COMPLETION_MAX = 8
@@ -318,9 +320,18 @@
             waiting[key] = send_reply
         else:
             waiting.pop(key, None)
-        reply.list_age_ms = self._list_age_ms()
+        self._set_list_age(reply, now_s)
         send_reply(reply)
 
+    def _set_list_age(self, reply: PlacementReply, now_s: float) -> None:
+        """Set the age of the list that a decision rests on, unless the reply is a kept one."""
+        if reply.list_age_ms != AGE_UNKNOWN_MS:
+            return
+        if reply.is_listed:
+            reply.list_age_ms = self._list_age_ms()
+        else:
+            reply.list_age_ms = int(MS_PER_S * self._directory.outage_age_s(now_s))
+
     def _add_service(self, name: str, now_s: float) -> ServicePlacement:
         service = self._services[name] = ServicePlacement(
             floor_share=self._floor_share, crashes=self._crashes
@@ -350,7 +361,7 @@
         for request, reply in decisions:
             send_reply = self._waiting[name].pop(request.key, None)
             if send_reply is not None:
-                reply.list_age_ms = self._list_age_ms()
+                self._set_list_age(reply, now_s)
                 send_reply(reply)
 
     def _targets(self, service: str, now_s: float) -> list[PlacementTarget]:
@@ -368,6 +379,7 @@
                 cold_until_s=self._cold_until_s(known, now_s),
                 cold_rate_per_s=cold_rate_per_s,
                 started_ms=known.target.started_ms,
+                is_listed=known.is_listed,
             )
             for known in self._directory.of_service(service)
             if known.target.data_centre not in self._out_data_centres
--- a/packages/daemon/src/tanagerreachd/gateway/_request_log.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_request_log.py
@@ -47,6 +47,7 @@
         "waiting_count": reply.waiting_count,
         "free_slot_count": reply.free_slot_count,
         "list_age_ms": reply.list_age_ms,
+        **({} if reply.is_listed else {"is_listed": False}),
     }
 
 
--- a/packages/daemon/src/tanagerreachd/gateway/_target_directory.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_target_directory.py
@@ -21,16 +21,20 @@
     item: StoredItem
     target: ListedTarget | None
     cold_until_s: float
-    # Set while the entry is missing but kept, since its target may register again.
-    missing_since_s: float | None = None
+    # Whether the entry is missing but kept, since its target may register again.
+    is_missing: bool = False
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class KnownTarget:
-    """A target with the end of its cold phase by this instance's clock."""
+    """A target with the end of its cold phase by this instance's clock.
+
+    :param is_listed: whether the latest list has it; otherwise it may register again soon.
+    """
 
     target: ListedTarget
     cold_until_s: float
+    is_listed: bool = True
 
 
 class TargetDirectory:
@@ -48,6 +52,7 @@
         "_store_restored_s",
         "_is_store_unreachable",
         "_on_skipped",
+        "_outage_began_s",
         "revision",
     )
 
@@ -63,6 +68,8 @@
         self._is_store_unreachable = False
         self._store_restored_s = float("-inf")
         self._last_response_s = float("-inf")
+        # Time of the last list before the latest outage.
+        self._outage_began_s = float("-inf")
         self.revision = -1
 
     def record_store_failure(self) -> None:
@@ -111,7 +118,7 @@
         """
         if self._is_store_unreachable or now_s - self._store_restored_s < RETURN_GRACE_S:
             return False
-        late = [key for key, entry in self._entries.items() if entry.missing_since_s is not None]
+        late = [key for key, entry in self._entries.items() if entry.is_missing]
         for key in late:
             del self._entries[key]
         return bool(late)
@@ -119,13 +126,26 @@
     def of_service(self, service: str) -> list[KnownTarget]:
         """Return the targets of a service that are not draining."""
         return [
-            KnownTarget(target=entry.target, cold_until_s=entry.cold_until_s)
+            KnownTarget(
+                target=entry.target,
+                cold_until_s=entry.cold_until_s,
+                is_listed=not entry.is_missing,
+            )
             for entry in self._entries.values()
             if entry.target is not None
             and entry.target.service == service
             and not entry.target.is_leaving
         ]
 
+    @property
+    def missing_count(self) -> int:
+        """Number of entries that are kept although the latest list does not have them."""
+        return sum(entry.is_missing for entry in self._entries.values())
+
+    def outage_age_s(self, now_s: float) -> float:
+        """Return the age of the last list that had the missing entries."""
+        return now_s - self._outage_began_s
+
     def listing(self) -> Listing:
         """Return the entries as they were read, for a peer."""
         return Listing(
@@ -140,13 +160,14 @@
         was_outage = self._is_store_unreachable and now_s - self._last_response_s >= OUTAGE_MIN_S
         if was_outage and missing_count >= lapsed_count:
             self._store_restored_s = now_s
+            self._outage_began_s = self._last_response_s
         self._is_store_unreachable = False
         self._last_response_s = now_s
 
     def _put(self, item: StoredItem, now_s: float) -> None:
         known = self._entries.get(item.key)
         if known is not None and known.item.revision >= item.revision:
-            known.missing_since_s = None
+            known.is_missing = False
             return
         target = self._decode(item)
         if target is None and (known is None or known.target is not None):
@@ -166,8 +187,7 @@
         if entry is None:
             return
         if now_s - self._store_restored_s < RETURN_GRACE_S:
-            if entry.missing_since_s is None:
-                entry.missing_since_s = now_s
+            entry.is_missing = True
         else:
             del self._entries[key]
 
--- a/packages/daemon/tests/test_gateway_homes.py
+++ b/packages/daemon/tests/test_gateway_homes.py
@@ -1,6 +1,7 @@
 """Homes of services: placements, quota, and the directory of targets."""
 
 import unittest
+from unittest import mock
 
 import gevent
 from tanagerreach_core.config import Configuration, DataCentre, Limit, Resolver, Service, Workspace
@@ -12,6 +13,7 @@
 )
 from tanagerreach_core.placement import CrashStreaks, PeerTable
 from tanagerreach_core.traffic import Outcome
+from tanagerreachd import _clock
 from tanagerreachd.gateway import ListedTarget, Listing, StoredItem
 from tanagerreachd.gateway._home_server import HomeServer
 from tanagerreachd.gateway._target_directory import RETURN_GRACE_S, TargetDirectory
@@ -72,6 +74,7 @@
 
     def setUp(self):
         self.is_current = True
+        self.list_age_ms = 0
         self.log = RecordingLog()
         self.directory = TargetDirectory(decode=decoded, on_skipped=lambda item: None)
         self.directory.replace(listing(1, t1="a", t2="b"), 0.0)
@@ -82,7 +85,7 @@
             directory=self.directory,
             keep_targets_current=lambda: None,
             is_current=lambda: self.is_current,
-            list_age_ms=lambda: 0,
+            list_age_ms=lambda: self.list_age_ms,
             floor_share=0.7,
             heartbeat_s=1.5,
             crashes=CrashStreaks(),
@@ -140,6 +143,24 @@
         self.assertEqual(fields["failed_percent"], 50)
         self.assertEqual(fields["idle_target_use"], "all")
 
+    def test_target_without_an_entry_looks_listed(self):
+        """Guards against logs that hide that a placement rests on an older list."""
+        self.directory.record_store_failure()
+        self.directory.replace(listing(2), 8.0)
+        self.homes.targets_changed()
+        with mock.patch.object(_clock, "now_s", lambda: 9.0):
+            reply = self.place(made_placement_request(1))
+        self.assertFalse(reply.is_listed)
+        self.assertEqual(reply.list_age_ms, 9000)
+
+    def test_kept_reply_has_the_age_of_another_list(self):
+        """Guards against the latest list's age beside a decision by an older list."""
+        self.list_age_ms = 40
+        placement_request = made_placement_request(1)
+        self.place(placement_request)
+        self.list_age_ms = 0
+        self.assertEqual(self.place(placement_request).list_age_ms, 40)
+
     def test_quota_is_counted(self):
         """Guards against requests granted beyond the rate, and refused below it."""
         granted = [self.homes.take_quota(QuotaRequest(call_id=n, workspace="w")) for n in range(5)]
