Drop missing targets after a cut of this instance only

An outage was told from a cut of this instance only by the number of missing entries, a fifth of all. In 8 s more had left.

Why it works: peers know better. The store counts as lost only while most of the known fleet is live and says that it does not reach it. An instance that hears nobody, or a zone that is cut off together, is no majority. The tests of entries that lapsed are unchanged.

--- a/packages/core/src/tanagerreach_core/_peer_table.py
+++ b/packages/core/src/tanagerreach_core/_peer_table.py
@@ -344,6 +344,13 @@
         heard = self._heard_peers(now_s)
         return self._user_count(rendezvous_key, heard, now_s) / (1 + len(heard))
 
+    def is_store_lost(self, now_s: float) -> bool:
+        """Return whether most of the known fleet is live and does not reach the store."""
+        lost_count = (not self.own_store_reachable) + sum(
+            not peer.store_reachable and self.is_live(peer, now_s) for peer in self._peers.values()
+        )
+        return 2 * lost_count > self._fleet_size(now_s)
+
     def _live_count(self, now_s: float) -> int:
         return sum(self.is_live(peer, now_s) for peer in self._peers.values())
 
--- a/packages/core/tests/test_peer_table.py
+++ b/packages/core/tests/test_peer_table.py
@@ -36,6 +36,22 @@
             }
             self.assertEqual(len(homes), 1)
 
+    def test_own_cut_looks_like_a_store_outage(self):
+        """Guards against an instance that takes its own cut, or its zone's, for a store outage."""
+        for cut_count, is_heard, expected in (
+            (1, True, False),
+            (1, False, False),
+            (4, True, False),
+            (7, True, True),
+            (12, True, True),
+        ):
+            with self.subTest(cut_count=cut_count, is_heard=is_heard):
+                peer_table = make_peer_table("i0", NAMES if is_heard else [], 1.0)
+                peer_table.own_store_reachable = False
+                for name in NAMES[1:cut_count]:
+                    peer_table.peer(name).store_reachable = False
+                self.assertIs(peer_table.is_store_lost(1.5), expected)
+
     def test_silent_home_is_replaced(self):
         """Guards against requests to an instance that has died."""
         peer_table = make_peer_table("i0", NAMES, 1.0)
--- a/packages/daemon/src/tanagerreachd/gateway/_followers.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_followers.py
@@ -312,6 +312,7 @@
 
     :param on_change: called after each change of the directory.
     :param on_availability: called when the store becomes unreachable or reachable.
+    :param is_outage: returns whether most of the fleet does not reach the store either.
     """
 
     def __init__(
@@ -321,9 +322,11 @@
         directory: TargetDirectory,
         on_change: Callable[[], None],
         on_availability: Callable[[], None],
+        is_outage: Callable[[], bool],
         log: InstanceLog,
         random: Random,
     ) -> None:
+        self._is_outage = is_outage
         self._source = platform.target_items
         self._directory = directory
         self._on_change = on_change
@@ -428,12 +431,12 @@
         pause_s = self._availability.record_failure(error)
         if not was_lost:
             self._on_availability()
-        self._directory.record_store_failure()
+        self._directory.record_store_failure(is_outage=self._is_outage())
         if not len(self._directory):
             listing = self._peer_listing()
             if listing is not None and self._directory.replace(listing, _clock.now_s()):
                 # A listing from a peer does not show that the store is reachable.
-                self._directory.record_store_failure()
+                self._directory.record_store_failure(is_outage=self._is_outage())
                 self._on_change()
         self._is_following = False
         gevent.sleep(pause_s)
--- a/packages/daemon/src/tanagerreachd/gateway/_instance.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_instance.py
@@ -192,6 +192,7 @@
             directory=self._directory,
             on_change=lambda: self._homes.targets_changed(),
             on_availability=self._on_availability,
+            is_outage=lambda: self._peer_table.is_store_lost(_clock.now_s()),
             log=self._log,
             random=self._random,
         )
--- a/packages/daemon/src/tanagerreachd/gateway/_target_directory.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_target_directory.py
@@ -10,8 +10,7 @@
 # Entries outlive store outages that are shorter than this.
 OUTAGE_MIN_S = 2.0
 # When the store itself is down, entries expire together. Fewer missing entries than the larger of
-# this share and this count are targets that left while only this instance could not reach the
-# store.
+# this share and this count are targets that left meanwhile.
 LAPSED_SHARE = 0.2
 LAPSED_COUNT_MIN = 2
 
@@ -50,6 +49,7 @@
         "_decode",
         "_entries",
         "_store_restored_s",
+        "_is_outage",
         "_is_store_unreachable",
         "_on_skipped",
         "_outage_began_s",
@@ -66,15 +66,22 @@
         self._on_skipped = on_skipped
         self._entries: dict[str, _Entry] = {}
         self._is_store_unreachable = False
+        self._is_outage = False
         self._store_restored_s = float("-inf")
         self._last_response_s = float("-inf")
         # Time of the last list before the latest outage.
         self._outage_began_s = float("-inf")
         self.revision = -1
 
-    def record_store_failure(self) -> None:
-        """Record a failed call to the store."""
+    def record_store_failure(self, *, is_outage: bool = True) -> None:
+        """Record a failed call to the store.
+
+        :param is_outage: whether the store may be down, rather than only out of this instance's
+            reach: then other instances, and the targets themselves, still reach it, and an entry
+            that is missing afterwards is one of a target that left.
+        """
         self._is_store_unreachable = True
+        self._is_outage |= is_outage
 
     def replace(self, listing: Listing, now_s: float) -> bool:
         """Replace all entries, unless the listing is older than the known entries.
@@ -157,11 +164,11 @@
 
     def _record_response(self, missing_count: int, now_s: float) -> None:
         lapsed_count = max(LAPSED_COUNT_MIN, LAPSED_SHARE * len(self._entries))
-        was_outage = self._is_store_unreachable and now_s - self._last_response_s >= OUTAGE_MIN_S
+        was_outage = self._is_outage and now_s - self._last_response_s >= OUTAGE_MIN_S
         if was_outage and missing_count >= lapsed_count:
             self._store_restored_s = now_s
             self._outage_began_s = self._last_response_s
-        self._is_store_unreachable = False
+        self._is_store_unreachable = self._is_outage = False
         self._last_response_s = now_s
 
     def _put(self, item: StoredItem, now_s: float) -> None:
--- a/packages/daemon/tests/test_gateway_followers.py
+++ b/packages/daemon/tests/test_gateway_followers.py
@@ -34,6 +34,7 @@
             directory=directory,
             on_change=lambda: None,
             on_availability=lambda: None,
+            is_outage=lambda: True,
             log=mock.Mock(),
             random=Random(1),
         )
--- a/packages/daemon/tests/test_gateway_homes.py
+++ b/packages/daemon/tests/test_gateway_homes.py
@@ -211,6 +211,28 @@
         self.directory.replace(listing(90, **names), 12.0)
         self.assertNotIn("t7", self.names())
 
+    def test_targets_that_left_while_this_instance_was_cut_off(self):
+        """Guards against placements at targets that were replaced while only this instance was cut.
+
+        So many left that a store outage would explain it too. Some are listed as leaving, some are
+        gone. Found on kranfind-sofia, trouble-1 --seed 7041979 (DRAIN).
+        """
+        names = {f"t{number}": "a" for number in range(30)}
+        self.directory.replace(listing(6, **names), 0.5)
+        self.directory.record_store_failure(is_outage=False)
+        kept = {name: "a" for name in list(names)[:18]}
+        leaving = {name: "a leaving" for name in list(names)[18:20]}
+        self.directory.replace(listing(90, **kept, **leaving), 8.5)
+        self.assertEqual(self.names(), set(kept))
+        self.assertEqual(self.directory.missing_count, 0)
+
+    def test_outage_that_few_instances_see_at_first(self):
+        """Guards against a service without targets after an outage that peers noticed later."""
+        self.directory.record_store_failure(is_outage=False)
+        self.directory.record_store_failure(is_outage=True)
+        self.directory.replace(listing(6), 8.0)
+        self.assertEqual(self.names(), {"t1", "t2"})
+
     def test_short_silence_is_no_outage(self):
         """Guards against placements at a target that left while a watch was briefly broken."""
         self.directory.update(listing(5), 1.0)
