Tell peers when an evacuation was taken back

What happens: an evacuation that is taken back removes an item of the operators' state. A reader that finds this by a full read, not by its watch, put the state in force without a higher version, as the version is the highest revision of the items that are left. Instances that follow peers learn of changes by that version, and kept the data centre out of service until the next change.

Evidence: test_peers_do_not_learn_of_a_removal had the versions 5, 1, 1 before, and 5, 9, 9 now. Ruled out: a rise with each full read; others' writes raise the store's revision, and the fleet would read the state at each.

Why it works: a full read that lacks an item gives the state the revision of the read, and a version never falls.

--- a/packages/daemon/src/tanagerreachd/gateway/_followers.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_followers.py
@@ -278,9 +278,12 @@
     def _replace(self, listing: Listing) -> None:
         if listing.revision < self._revision:
             return
+        known = {key for key, item in self._items.items() if item.value is not None}
         self._items = {item.key: item for item in listing.items}
         self._revision = listing.revision
-        self._apply()
+        # The revisions of the items that are left do not tell of a removal.
+        has_removed = not known <= self._items.keys()
+        self._apply(listing.revision if has_removed else -1)
 
     def _update(self, changes: Listing) -> None:
         for item in changes.items:
@@ -292,7 +295,7 @@
 
     def _apply(self, version: int = -1) -> None:
         present = [item for item in self._items.values() if item.value is not None]
-        version = max([version, *(item.revision for item in self._items.values())])
+        version = max([version, self.version, *(item.revision for item in self._items.values())])
         state = self._platform.decode_operator_state(Listing(items=present, revision=version))
         if state is None:
             self._log.warning("operator state cannot be decoded", revision=version)
--- a/packages/daemon/tests/test_gateway_followers.py
+++ b/packages/daemon/tests/test_gateway_followers.py
@@ -120,6 +120,40 @@
     )
 
 
+class RemovalTest(unittest.TestCase):
+    """An evacuation that operators took back, found by a read of the whole state."""
+
+    def test_peers_do_not_learn_of_a_removal(self):
+        """Guards against instances that keep a data centre out of service until the next change.
+
+        They learn of changes by the version that a reader has in force.
+        """
+        items = [
+            StoredItem(key="op/config", value=b"{}", revision=1),
+            StoredItem(key="op/evacuate/dc-1", value=b"{}", revision=5),
+        ]
+        source = mock.Mock()
+        source.read.side_effect = [
+            Listing(items=items, revision=6),
+            Listing(items=items[:1], revision=9),
+            Listing(items=items[:1], revision=20),
+        ]
+        follower = OperatorStateFollower(
+            platform=mock.Mock(operator_items=source, decode_operator_state=operator_state),
+            on_state=lambda state: None,
+            is_reader=lambda: True,
+            log=mock.Mock(),
+            random=Random(1),
+        )
+        versions = []
+        for _ in range(3):
+            follower.check()
+            follower.run_read()
+            versions.append(follower.version)
+        # Other writers raise the store's revision without a change of this state.
+        self.assertEqual(versions, [5, 9, 9])
+
+
 class OperatorStateFollowerTest(unittest.TestCase):
     """Configurations that are written while and after the store hangs."""
 
