Give up an answer that has stopped at the request's time limit

Callers got no end, neither at the route's limit nor at their own deadline.

Cause: the request's timer ended with the head; each further part had 30 s, and the whole answer 30 s beyond the limit, so that an answer which goes on is delivered late. Nothing told that from one that has stopped. Ruled out: the watch of the caller, and the timer of the head.

Why it works: the connection's reader knows by when the response is due, and from then on gives up 0.25 s after the last byte, within chunks and their lines too. A response that goes on is delivered as before, also when its caller takes it slowly.

--- a/packages/daemon/src/tanagerreachd/_upstream.py
+++ b/packages/daemon/src/tanagerreachd/_upstream.py
@@ -130,6 +130,9 @@
 class ResponseStream:
     """Iterator over the body of a response; closing it early closes the connection.
 
+    :param responds_by_s: time from which a response that has stopped is given up.
+    :param ends_s: time at which also one that goes on is given up.
+
     It is not a generator, since closing a generator that was never started runs none of its code.
     """
 
@@ -150,9 +153,11 @@
         connection: TargetConnection,
         pool: TargetPool,
         *,
+        responds_by_s: float,
         ends_s: float,
         first_part: bytes = b"",
     ) -> None:
+        connection.limit_response(responds_by_s)
         self._target = target
         self._ends_s = ends_s
         self._first_part = first_part
@@ -237,8 +242,8 @@
     """Connection pools to all targets.
 
     :param connect_timeout_s: timeout for opening a connection.
-    :param idle_timeout_s: timeout between two parts of a response body. A streamed response may
-        also end this much after its time limit.
+    :param idle_timeout_s: timeout between two parts of a response body. A streamed response that
+        goes on may also end this much after its time limit.
     :param dialect: headers and framing that targets use.
     """
 
@@ -307,14 +312,16 @@
         try:
             connection = _check_out(target, pool, request.max_idle_s)
             _write(connection, request, timer, send_by_s)
+            responds_by_s = _clock.now_s() + time_limit_s if send_by_s is None else send_by_s
             exchange = _Exchange(
                 target,
                 request,
                 connection,
                 pool,
                 self._dialect,
-                # A response that began in time is delivered late rather than cut.
-                ends_s=_clock.now_s() + max(time_limit_s, 0.0) + self._idle_timeout_s,
+                # A response that goes on is delivered late rather than cut.
+                responds_by_s=responds_by_s,
+                ends_s=responds_by_s + self._idle_timeout_s,
             )
             return exchange.receive(head_timer)
         except _HeadTimeoutReached:
@@ -420,6 +427,7 @@
         "_dialect",
         "_ends_s",
         "_is_first_exchange",
+        "_responds_by_s",
         "_pool",
         "_request",
         "_target",
@@ -433,8 +441,10 @@
         pool: TargetPool,
         dialect: TargetDialect,
         *,
+        responds_by_s: float,
         ends_s: float,
     ) -> None:
+        self._responds_by_s = responds_by_s
         self._ends_s = ends_s
         self._is_first_exchange = connection.response_count == 0
         self._target = target
@@ -463,6 +473,7 @@
                 response,
                 self._connection,
                 self._pool,
+                responds_by_s=self._responds_by_s,
                 ends_s=self._ends_s,
                 first_part=first_part,
             )
--- a/packages/daemon/src/tanagerreachd/_upstream_connection.py
+++ b/packages/daemon/src/tanagerreachd/_upstream_connection.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import http.client
+import io
 import socket
 import time
 from collections import deque
@@ -19,6 +20,10 @@
 # Many servers close connections that were idle for 5 s. A request sent just then fails, and a
 # non-idempotent one must not be retried, so idle connections are closed earlier.
 MAX_IDLE_S = 4.0
+# A response from which nothing arrived for this long has stopped.
+STOPPED_AFTER_S = 0.25
+# Least time to take what has arrived already, when the caller was slow to read the part before.
+RECEIVE_MIN_S = 0.02
 STATUS_SWITCHING_PROTOCOLS = 101
 FIRST_INFORMATIONAL_STATUS = 100
 FIRST_FINAL_STATUS = 200
@@ -34,6 +39,47 @@
     """The time until which a request may be sent has passed, and nothing of it was sent."""
 
 
+class _ReceivingIO(io.RawIOBase):
+    """Raw reader of a socket that ends responses that have stopped.
+
+    ``responds_by_s`` is the time from which a response that has stopped is given up, ``None`` for
+    the timeout of the socket.
+    """
+
+    def __init__(self, open_socket: Any) -> None:
+        self._socket = open_socket
+        # The socket counts its readers, and closes after the last one.
+        open_socket._io_refs += 1
+        self.responds_by_s: float | None = None
+        self._received_s = _clock.now_s()
+
+    def readable(self) -> bool:
+        """Return true."""
+        return True
+
+    def readinto(self, buffer: Any) -> int | None:
+        """Receive into a buffer.
+
+        :returns: the number of bytes, ``None`` when there are none and the socket does not block.
+        :raises TimeoutError: when the response has stopped.
+        """
+        if self.responds_by_s is not None:
+            gives_up_s = max(self.responds_by_s, self._received_s + STOPPED_AFTER_S)
+            self._socket.settimeout(max(RECEIVE_MIN_S, gives_up_s - _clock.now_s()))
+        try:
+            size_bytes = self._socket.recv_into(buffer)
+        except BlockingIOError:
+            return None
+        self._received_s = _clock.now_s()
+        return size_bytes
+
+    def close(self) -> None:
+        """Close the reader, and the socket if it has no other."""
+        if not self.closed:
+            super().close()
+            self._socket._decref_socketios()
+
+
 class _SharedReader:
     """Buffered reader of a connection that successive responses share.
 
@@ -42,11 +88,13 @@
     of a head, and read some lines without a limit; this reader raises :class:`FramingError`.
     """
 
-    __slots__ = ("_framing_bytes", "_reader", "_socket")
+    __slots__ = ("_framing_bytes", "_raw", "_reader", "_socket", "_timeout_s")
 
     def __init__(self, open_socket: Any) -> None:
         self._socket = open_socket
-        self._reader = open_socket.makefile("rb")
+        self._timeout_s = open_socket.gettimeout()
+        self._raw = _ReceivingIO(open_socket)
+        self._reader = io.BufferedReader(self._raw)
         # Bytes of lines since the last part of a body, or since the start of the response.
         self._framing_bytes = 0
 
@@ -54,6 +102,15 @@
         """Expect the head of a response, or the end of the connection."""
         self._framing_bytes = 0
 
+    def limit_response(self, responds_by_s: float | None) -> None:
+        """Set the time from which a response that has stopped is given up, ``None`` for no limit.
+
+        :meth:`read` and the others then raise :class:`TimeoutError`.
+        """
+        if responds_by_s is None and self._raw.responds_by_s is not None:
+            self._socket.settimeout(self._timeout_s)
+        self._raw.responds_by_s = responds_by_s
+
     def readline(self, limit: int = -1) -> bytes:
         """Read a line of a head, or one that frames a chunk.
 
@@ -101,6 +158,7 @@
 
     def has_unread_data(self) -> bool:
         """Return, without blocking, whether bytes have arrived that belong to no response."""
+        self.limit_response(None)
         timeout_s = self._socket.gettimeout()
         self._socket.settimeout(0.0)
         try:
@@ -168,6 +226,14 @@
         reader = self._reader = _SharedReader(open_socket)
         self.response_class = lambda _socket, **options: _Response(reader, **options)
 
+    def limit_response(self, responds_by_s: float) -> None:
+        """Give up the present response if it stops, from a time on.
+
+        A response that goes on is read beyond that time.
+        """
+        if self._reader is not None:
+            self._reader.limit_response(responds_by_s)
+
     def next_response(self) -> http.client.HTTPResponse:
         """Read the head of the next response, which may belong to an earlier request.
 
@@ -210,6 +276,8 @@
         :raises NotSentError: when that time has passed.
         """
         self._send_by_s = send_by_s
+        if self._reader is not None:
+            self._reader.limit_response(None)
         names = {name.lower() for name in headers}
         self._method = method
         self._is_first_response_pending = True
--- a/packages/daemon/src/tanagerreachd/gateway/_application.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_application.py
@@ -127,7 +127,9 @@
         start_response(f"{response.status} {response.reason or 'Status'}", headers)
         if response.stream is not None:
             return StreamedResponse(
-                stream=response.stream, outcome=Outcome.SUCCESS, on_end=lambda _outcome: None
+                stream=response.stream,
+                outcome=Outcome.SUCCESS,
+                on_end=partial(self._log.stream_ended, request, response.status),
             )
         return [response.body] if response.body else []
 
--- a/packages/daemon/src/tanagerreachd/gateway/_request_log.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_request_log.py
@@ -164,6 +164,20 @@
             revision=request.environ["tanagerreach.revision"],
         )
 
+    def stream_ended(self, request: Any, status: int, outcome: Outcome) -> None:
+        """Record a response that was passed on in parts, unless it ended as a whole."""
+        if outcome is Outcome.SUCCESS or not self._failed.take():
+            return
+        self._log.info(
+            "response ended early",
+            request_id=request.request_id,
+            service=request.service_name,
+            target=request.tries[-1].target,
+            status=status,
+            outcome=outcome.name.lower(),
+            took_ms=int(1000 * (_clock.now_s() - request.arrived_s)),
+        )
+
     def refused(self, refusal: RefusalError, request_id: str, took_s: float) -> None:
         """Record a request that ends with a refusal instead of a target's response."""
         self._refusals.add(1, refusal.kind, str(refusal.status.value))
--- a/packages/daemon/tests/test_upstream.py
+++ b/packages/daemon/tests/test_upstream.py
@@ -216,6 +216,58 @@
                 with self.assertRaises(IncompleteResponseError):
                     list(response.stream)
 
+    def stream_s(self, target, limit_s):
+        """Read a stream to its end, and return how long that took and whether it was whole."""
+        began_s = time.monotonic()
+        stream = self.send(target, limit_s=limit_s).stream
+        try:
+            for _ in stream:
+                pass
+        except IncompleteResponseError:
+            return time.monotonic() - began_s, False
+        return time.monotonic() - began_s, True
+
+    def test_answer_that_stops_is_held_beyond_its_limit(self):
+        """Guards against callers that wait for an answer that has stopped in its body."""
+        chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        long = b"HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n"
+        part = b"2\r\nok\r\n"
+        for script, limit_s in (
+            ([chunked + part, 5.0], 0.5),
+            ([chunked + b"2\r\no", 5.0], 0.5),
+            ([chunked + b"2", 5.0], 0.5),
+            ([chunked + part + b"0\r\n", 5.0], 0.5),
+            ([chunked, *[part, 0.1] * 4, 5.0], 0.5),
+            ([long + b"x" * 9, 5.0], 0.5),
+        ):
+            with self.subTest(script=script):
+                took_s, is_whole = self.stream_s(self.target(script), limit_s)
+                self.assertFalse(is_whole)
+                self.assertGreaterEqual(took_s, limit_s)
+                # The platform's bound for an answer beyond its route's limit.
+                self.assertLess(took_s, limit_s + 0.5)
+
+    def test_answer_that_goes_on_is_cut_at_its_limit(self):
+        """Guards against an answer that is cut although its target goes on sending it."""
+        chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        target = self.target([chunked, *[b"2\r\nok\r\n", 0.1] * 8, b"0\r\n\r\n"])
+        took_s, is_whole = self.stream_s(target, 0.3)
+        self.assertTrue(is_whole)
+        self.assertGreater(took_s, 0.8)
+        # The limit of this response does not hold for the next one on the connection.
+        target.scripts[:] = [[0.5, OK]]
+        self.assertEqual(self.send(target).body, b"ok")
+        self.assertEqual(target.connection_count, 1)
+
+    def test_answer_that_its_caller_read_late_is_cut(self):
+        """Guards against an answer that is cut as its caller took a part slowly."""
+        chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        target = self.target([chunked, b"2\r\nok\r\n", 0.1, b"2\r\nok\r\n0\r\n\r\n"])
+        stream = self.send(target, limit_s=0.3).stream
+        self.assertEqual(next(stream), b"ok")
+        gevent.sleep(0.8)
+        self.assertEqual(b"".join(stream), b"ok")
+
     def test_shed_and_refused_did_not_start(self):
         """Guards against shed requests and failed connects that are not marked safe to retry."""
         target = self.target(
