Do not send a body again of which a read was interrupted

Cause: a read that the try's time limit ends loses what it had of its part, and only whole parts were counted. The body counted as untouched behind its first part and was sent to a second target without the piece, filled up from the next request on the connection. Ruled out: a body within the first MiB, which is read whole before any target is asked.

Why it works: the body notes a read that did not end, and is not replayable then; the caller gets the first try's failure.

--- a/packages/daemon/src/tanagerreachd/_caller_body.py
+++ b/packages/daemon/src/tanagerreachd/_caller_body.py
@@ -44,6 +44,7 @@
         "_buffered_bytes",
         "_chunked",
         "_first_part",
+        "_is_interrupted",
         "_limit_bytes",
         "_part_time_limit_s",
         "_stream",
@@ -68,6 +69,8 @@
         self._limit_bytes = limit_bytes
         self._part_time_limit_s = part_time_limit_s
         self._first_part = b""
+        # Whether a read did not end, so that an unknown part of the body was read.
+        self._is_interrupted = False
         self.content_length = content_length
         self.read_bytes = 0
         self.buffered: bytes | None = None
@@ -104,7 +107,9 @@
     @property
     def replayable(self) -> bool:
         """Whether the body can be sent in a retry."""
-        return self.buffered is not None or self.read_bytes == len(self._first_part)
+        if self.buffered is not None:
+            return True
+        return not self._is_interrupted and self.read_bytes == len(self._first_part)
 
     @property
     def complete(self) -> bool:
@@ -132,8 +137,10 @@
 
     def _read(self, size_bytes: int) -> bytes:
         timer = gevent.Timeout.start_new(self._part_time_limit_s)
+        self._is_interrupted = True
         try:
             data = self._stream.read(size_bytes)
+            self._is_interrupted = False
         except gevent.Timeout as expired:
             if expired is not timer:
                 raise
