Ask peers about the store once more when it is back

What could happen: an instance that places no requests calls the store each 4 s only. In an outage with a single failed call, made before the peers had noticed, it took the outage for its own cut and dropped all entries that had lapsed, until they were back.

Evidence: test_outage_that_peers_noticed_after_the_last_call kept 0 of 9 entries before. Why it works: the peers' states count at the call that succeeds too, when they have had the whole outage to tell.

--- a/packages/daemon/src/tanagerreachd/gateway/_followers.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_followers.py
@@ -415,6 +415,9 @@
 
     def _read(self, *, allow_stale: bool) -> None:
         listing = self._source.read(allow_stale=allow_stale)
+        if self._availability.is_lost:
+            # Peers may have lost the store since the latest failed call.
+            self._directory.record_store_failure(is_outage=self._is_outage())
         is_changed = self._directory.replace(listing, _clock.now_s())
         self._record_response()
         if is_changed:
--- a/packages/daemon/tests/test_gateway_followers.py
+++ b/packages/daemon/tests/test_gateway_followers.py
@@ -28,13 +28,13 @@
     """Calls to a store by the instances of a large fleet."""
 
     @staticmethod
-    def make_follower(source, directory):
+    def make_follower(source, directory, is_outage=lambda: True):
         return TargetFollower(
             platform=mock.Mock(target_items=source),
             directory=directory,
             on_change=lambda: None,
             on_availability=lambda: None,
-            is_outage=lambda: True,
+            is_outage=is_outage,
             log=mock.Mock(),
             random=Random(1),
         )
@@ -70,6 +70,28 @@
         self.assertLessEqual(source.read.call_count, 5)
         self.assertGreaterEqual(source.read.call_count, 2)
 
+    def test_outage_that_peers_noticed_after_the_last_call(self):
+        """Guards against a service without targets after an outage with a single failed call."""
+        items = [StoredItem(key=f"t{number}", value=b"", revision=1) for number in range(9)]
+        source = mock.Mock()
+        source.read.side_effect = [
+            Listing(items=items, revision=1),
+            SourceError("status 503"),
+            Listing(items=[], revision=30),
+        ]
+        directory = TargetDirectory(decode=lambda item: None, on_skipped=mock.Mock())
+        lost_count = 1
+        follower = self.make_follower(source, directory, lambda: lost_count > 5)
+        follower.keep_current()
+        follower.run()
+        follower._is_following = False
+        began_s = _clock.now_s()
+        follower.run()
+        lost_count = 9
+        with mock.patch.object(_clock, "now_s", lambda: began_s + 5.0):
+            follower.run()
+        self.assertEqual(directory.missing_count, len(items))
+
 
 class HangingSource:
     """Store that never ends a call that it got before or while it hangs.
