--- a/packages/daemon/src/tanagerreachd/_upstream.py
+++ b/packages/daemon/src/tanagerreachd/_upstream.py
@@ -130,10 +130,10 @@
 class ResponseStream:
     """Iterator over the body of a response; closing it early closes the connection.
 
-    :param responds_by_s: time from which a response that has stopped is given up.
-    :param ends_s: time at which also one that goes on is given up.
-
     It is not a generator, since closing a generator that was never started runs none of its code.
+
+    :param responds_by_s: time from which a response that has stopped is given up.
+    :param ends_s: time at which a response that goes on is given up too.
     """
 
     __slots__ = (
--- a/packages/daemon/src/tanagerreachd/gateway/_target_directory.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_target_directory.py
@@ -76,9 +76,8 @@
     def record_store_failure(self, *, is_outage: bool = True) -> None:
         """Record a failed call to the store.
 
-        :param is_outage: whether the store may be down, rather than only out of this instance's
-            reach: then other instances, and the targets themselves, still reach it, and an entry
-            that is missing afterwards is one of a target that left.
+        :param is_outage: whether the store may be down. Otherwise only this instance does not reach
+            it, and a target whose entry is missing afterwards has left.
         """
         self._is_store_unreachable = True
         self._is_outage |= is_outage
