Drop a second reset of a response's limit, and count kept entries only for the log

Found on reading the whole change once more; behaviour stays as it is.

- A connection is used again only after check_in, whose has_unread_data ends the limit of the response before.
The reset in send_request never had anything to do.
- Each response of the store counted the kept entries of all targets for a log line that is written only when the store is back.
The fields of that line are now asked for when it is written.

--- a/packages/daemon/src/tanagerreachd/_upstream_connection.py
+++ b/packages/daemon/src/tanagerreachd/_upstream_connection.py
@@ -157,7 +157,10 @@
         self._reader.close()
 
     def has_unread_data(self) -> bool:
-        """Return, without blocking, whether bytes have arrived that belong to no response."""
+        """Return, without blocking, whether bytes have arrived that belong to no response.
+
+        This ends the limit of the response before.
+        """
         self.limit_response(None)
         timeout_s = self._socket.gettimeout()
         self._socket.settimeout(0.0)
@@ -276,8 +279,6 @@
         :raises NotSentError: when that time has passed.
         """
         self._send_by_s = send_by_s
-        if self._reader is not None:
-            self._reader.limit_response(None)
         names = {name.lower() for name in headers}
         self._method = method
         self._is_first_response_pending = True
--- a/packages/daemon/src/tanagerreachd/gateway/_followers.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_followers.py
@@ -71,23 +71,39 @@
 
 
 class _Availability:
-    """Logs once when a part of the store becomes unreachable, and once when it is back."""
+    """Logs once when a part of the store becomes unreachable, and once when it is back.
 
-    __slots__ = ("_backoff", "_failed_count", "_log", "_lost_s", "_part", "is_lost")
+    :param regained_fields: returns further fields of the log line when it is back.
+    """
+
+    __slots__ = (
+        "_backoff",
+        "_failed_count",
+        "_log",
+        "_lost_s",
+        "_part",
+        "_regained_fields",
+        "is_lost",
+    )
 
-    def __init__(self, *, part: str, log: InstanceLog, random: Random) -> None:
+    def __init__(
+        self,
+        *,
+        part: str,
+        log: InstanceLog,
+        random: Random,
+        regained_fields: Callable[[], dict[str, Any]] = dict,
+    ) -> None:
         self._part = part
+        self._regained_fields = regained_fields
         self._log = log
         self._backoff = _Backoff(random)
         self._failed_count = 0
         self._lost_s = 0.0
         self.is_lost = False
 
-    def record_success(self, **inputs: Any) -> bool:
-        """Record a response; return whether the store was unreachable before.
-
-        :param inputs: further fields of the log line.
-        """
+    def record_success(self) -> bool:
+        """Record a response; return whether the store was unreachable before."""
         self._backoff.reset()
         was_lost, self.is_lost = self.is_lost, False
         if was_lost:
@@ -97,7 +113,7 @@
                 part=self._part,
                 lost_s=round(_clock.now_s() - self._lost_s, 2),
                 failed_count=self._failed_count,
-                **inputs,
+                **self._regained_fields(),
             )
         return was_lost
 
@@ -336,7 +352,12 @@
         self._on_availability = on_availability
         self._log = log
         self._random = random
-        self._availability = _Availability(part="targets", log=log, random=random)
+        self._availability = _Availability(
+            part="targets",
+            log=log,
+            random=random,
+            regained_fields=lambda: {"kept_count": directory.missing_count},
+        )
         self._follow_until_s = float("-inf")
         self._wake = Event()
         self._checked_s = float("-inf")
@@ -429,7 +450,7 @@
 
     def _record_response(self) -> None:
         self._last_response_s = _clock.now_s()
-        if self._availability.record_success(kept_count=self._directory.missing_count):
+        if self._availability.record_success():
             self._on_availability()
 
     def _handle_failure(self, error: SourceError) -> None:
