Take no end of a connection that has failed for the end of a body, and no odd status for one

Callers that uploaded more than the socket buffers hold got a part of a body as a complete 200, when the target had answered at once without a length and reset the connection while the upload was still being sent.

Cause: the kernel reports a reset once. The send of the upload got it, and the next receipt looked like an end in order, which completes a body without a length.

Also, http.client takes +200, 0200, 2_00, 600 and 999 for statuses; a status is now three digits from 100 to 599. 000 and 099 were refused before.

--- a/packages/daemon/src/tanagerreachd/_upstream_connection.py
+++ b/packages/daemon/src/tanagerreachd/_upstream_connection.py
@@ -3,6 +3,7 @@
 import contextlib
 import http.client
 import io
+import re
 import socket
 import time
 from collections import deque
@@ -26,6 +27,8 @@
 # Least time to take what has arrived already, when the caller was slow to read the part before.
 RECEIVE_MIN_S = 0.02
 STATUS_SWITCHING_PROTOCOLS = 101
+# http.client also accepts signs, more or fewer digits, and statuses beyond the classes of HTTP.
+STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] [1-5][0-9]{2}(?: [^\r\n]*)?\r?\n\Z")
 FIRST_INFORMATIONAL_STATUS = 100
 FIRST_FINAL_STATUS = 200
 # Servers expect a Content-Length from other methods even without a body.
@@ -44,7 +47,9 @@
     """Raw reader of a socket that ends responses that have stopped.
 
     ``responds_by_s`` is the time from which a response that has stopped is given up, ``None`` for
-    the timeout of the socket.
+    the timeout of the socket. ``failure`` is the first failure of the connection in either
+    direction. The kernel reports a reset only once, to a send, a receipt or a peek; the next receipt
+    then looks like the end of the connection in order.
     """
 
     def __init__(self, open_socket: Any) -> None:
@@ -52,6 +57,7 @@
         # The socket counts its readers, and closes after the last one.
         open_socket._io_refs += 1
         self.responds_by_s: float | None = None
+        self.failure: OSError | None = None
         self._received_s = _clock.now_s()
 
     def readable(self) -> bool:
@@ -63,6 +69,7 @@
 
         :returns: the number of bytes, ``None`` when there are none and the socket does not block.
         :raises TimeoutError: when the response has stopped.
+        :raises OSError: when the connection has failed, and all that arrived before was received.
         """
         if self.responds_by_s is not None:
             gives_up_s = max(self.responds_by_s, self._received_s + STOPPED_AFTER_S)
@@ -71,6 +78,11 @@
             size_bytes = self._socket.recv_into(buffer)
         except BlockingIOError:
             return None
+        except ConnectionError as error:
+            self.failure = self.failure or error
+            raise
+        if not size_bytes and self.failure is not None:
+            raise ConnectionResetError("the connection failed before its end") from self.failure
         self._received_s = _clock.now_s()
         return size_bytes
 
@@ -89,7 +101,7 @@
     of a head, and read some lines without a limit; this reader raises :class:`FramingError`.
     """
 
-    __slots__ = ("_framing_bytes", "_raw", "_reader", "_socket", "_timeout_s")
+    __slots__ = ("_framing_bytes", "_raw", "_reader", "_socket", "_timeout_s", "latest_line")
 
     def __init__(self, open_socket: Any) -> None:
         self._socket = open_socket
@@ -98,11 +110,16 @@
         self._reader = io.BufferedReader(self._raw)
         # Bytes of lines since the last part of a body, or since the start of the response.
         self._framing_bytes = 0
+        self.latest_line = b""
 
     def begin_response(self) -> None:
         """Expect the head of a response, or the end of the connection."""
         self._framing_bytes = 0
 
+    def record_failure(self, error: OSError) -> None:
+        """Record that the connection has failed, so that its end completes no body."""
+        self._raw.failure = self._raw.failure or error
+
     def limit_response(self, responds_by_s: float | None) -> None:
         """Set the time from which a response that has stopped is given up, ``None`` for no limit.
 
@@ -126,6 +143,7 @@
         if not is_whole and len(line) != limit and (line or self._framing_bytes):
             raise FramingError("the connection ended within a head or a chunk's line")
         self._framing_bytes += len(line)
+        self.latest_line = line
         return line
 
     def read(self, size: int = -1) -> bytes:
@@ -193,11 +211,16 @@
 
 
 class _Response(http.client.HTTPResponse):
-    """Response that skips all interim (1xx) responses; ``http.client`` skips 100 only."""
+    """Response that skips all interim (1xx) responses; ``http.client`` skips 100 only.
+
+    :raises http.client.BadStatusLine: when the status is not three digits from 100 to 599.
+    """
 
     def _read_status(self) -> tuple[str, int, str]:
         while True:
             version, status, reason = super()._read_status()
+            if not STATUS_LINE.match(self.fp.latest_line):
+                raise http.client.BadStatusLine(repr(self.fp.latest_line))
             is_interim = FIRST_INFORMATIONAL_STATUS < status < FIRST_FINAL_STATUS
             if not is_interim or status == STATUS_SWITCHING_PROTOCOLS:
                 return version, status, reason
@@ -328,7 +351,11 @@
         send_by_s, self._send_by_s = self._send_by_s, None
         if send_by_s is not None and _clock.now_s() >= send_by_s:
             raise NotSentError
-        send_all(self.sock, data)
+        try:
+            send_all(self.sock, data)
+        except ConnectionError as error:
+            self._reader.record_failure(error)
+            raise
 
     def _put_body_length(self, method: str, body: bytes | Iterable[bytes] | None) -> bool:
         """Add the body framing header.
