--- a/packages/daemon/src/tanagerreachd/_upstream_connection.py
+++ b/packages/daemon/src/tanagerreachd/_upstream_connection.py
@@ -48,8 +48,8 @@
 
     ``responds_by_s`` is the time from which a response that has stopped is given up, ``None`` for
     the timeout of the socket. ``failure`` is the first failure of the connection in either
-    direction. The kernel reports a reset only once, to a send, a receipt or a peek; the next receipt
-    then looks like the end of the connection in order.
+    direction. The kernel reports a reset only once, to a send, a receipt or a peek; the next
+    receipt then looks like the end of the connection in order.
     """
 
     def __init__(self, open_socket: Any) -> None:
