Reset the connection of an HTTP/1.0 caller whose response is cut

A response to HTTP/1.0 without a length ends with its connection. When the target's response broke, the gateway ended that connection in order, so that the part looked complete. A caller of HTTP/1.1 gets such a response in chunks, whose last one is then missing.

test_broken_response_to_an_old_caller_looks_whole failed before.

--- a/packages/daemon/src/tanagerreachd/_http_server.py
+++ b/packages/daemon/src/tanagerreachd/_http_server.py
@@ -28,7 +28,7 @@
     check_header_line,
     check_line_end,
 )
-from ._lingering_close import LINGER_S, discard_input, stop_sending
+from ._lingering_close import LINGER_S, discard_input, stop_sending, stop_with_reset
 from ._sockets import peek_input, send_all
 from ._upstream_errors import IncompleteResponseError
 
@@ -174,6 +174,8 @@
     server: "CallerServer"
     head_timer: gevent.Timeout | None = None
     is_active = False
+    # Whether a response was cut whose end only the end of the connection shows.
+    is_cut_at_end = False
 
     def __init__(self, *arguments: Any, **named: Any) -> None:
         super().__init__(*arguments, **named)
@@ -213,8 +215,12 @@
         No request may be in flight on the connection: after ``LINGER_S`` it would look as if the
         caller had disconnected.
         """
-        if not self.is_ending:
-            self.server.ending_connections.add(self.socket)
+        if self.is_ending:
+            return
+        self.server.ending_connections.add(self.socket)
+        if self.is_cut_at_end:
+            stop_with_reset(self.socket)
+        else:
             stop_sending(self.socket)
 
     def close_idle(self) -> None:
@@ -404,6 +410,8 @@
         if not issubclass(t, EXPECTED_FAILURES):
             self.server.on_failure(v)
         self.close_connection = True
+        if self.headers_sent and self.provided_content_length is None:
+            self.is_cut_at_end = not self.response_use_chunked
         if not issubclass(t, (gevent.GreenletExit, CallerDisconnectedError)):
             self._send_error_response_if_possible(FAILURE_STATUS)
 
--- a/packages/daemon/src/tanagerreachd/_lingering_close.py
+++ b/packages/daemon/src/tanagerreachd/_lingering_close.py
@@ -6,6 +6,7 @@
 
 import contextlib
 import socket
+import struct
 from typing import Any
 
 import gevent
@@ -14,6 +15,8 @@
 # may send a further request meanwhile.
 LINGER_S = 1.0
 READ_CHUNK_BYTES = 16 * 1024
+# A socket that is closed with this linger time resets its connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 def stop_sending(connection: Any) -> None:
@@ -23,6 +26,16 @@
     gevent.spawn_later(LINGER_S, _stop_reading, connection)
 
 
+def stop_with_reset(connection: Any) -> None:
+    """Shut down the receiving side, and let the close of the socket reset the connection.
+
+    A body that ends with its connection would look complete after any other end.
+    """
+    with contextlib.suppress(OSError):
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    _stop_reading(connection)
+
+
 def discard_input(connection: Any) -> None:
     """Discard input until the caller closes or the receiving side is shut down."""
     connection.settimeout(LINGER_S)
--- a/packages/daemon/tests/test_pipelined_requests.py
+++ b/packages/daemon/tests/test_pipelined_requests.py
@@ -23,6 +23,8 @@
     "/huge": 0.0,
     "/parts": 0.0,
     "/breaks": 0.0,
+    "/unframed": 0.0,
+    "/unframed-breaks": 0.0,
     "/soon": SHORT_TARGET_TIME_S,
 }
 LARGE_BODY_BYTES = 1_000_000
@@ -82,6 +84,9 @@
         finally:
             if end_watch is not None:
                 end_watch()
+        if path in ("/unframed", "/unframed-breaks"):
+            start_response("200 OK", [])
+            return self.parts() if path == "/unframed" else self.broken_parts()
         if path in ("/parts", "/breaks"):
             start_response("200 OK", [("Content-Length", "4")])
             return self.parts() if path == "/parts" else self.broken_parts()
@@ -101,6 +106,31 @@
         gevent.sleep(SHORT_TARGET_TIME_S)
         raise IncompleteResponseError("t", "the answer ended early")
 
+    def read_to_the_end(self, request):
+        """Return what the server sends until it ends the connection."""
+        received = b""
+        with contextlib.closing(green_socket.create_connection(self.server.address)) as connection:
+            connection.sendall(request)
+            with gevent.Timeout(SHORT_TARGET_TIME_S + CANCEL_LIMIT_S):
+                while data := connection.recv(65536):
+                    received += data
+        return received
+
+    def test_broken_response_to_an_old_caller_looks_whole(self):
+        """The body of a response to HTTP/1.0 without a length ends with its connection."""
+        for version, whole_end in (("1.0", b"abcd"), ("1.1", b"0\r\n\r\n")):
+            headers = f"HTTP/{version}\r\nHost: h\r\nConnection: close\r\n\r\n"
+            with self.subTest(version=version, path="/unframed"):
+                received = self.read_to_the_end(f"GET /unframed {headers}".encode())
+                self.assertTrue(received.endswith(whole_end), received)
+            with self.subTest(version=version, path="/unframed-breaks"):
+                request = f"GET /unframed-breaks {headers}".encode()
+                if version == "1.0":
+                    with self.assertRaises(ConnectionResetError):
+                        self.read_to_the_end(request)
+                else:
+                    self.assertFalse(self.read_to_the_end(request).endswith(whole_end))
+
     def assert_cancelled(self, *requests, reset=False, before_close=lambda: None):
         """Send requests, close the connection, and expect that all which run are cancelled."""
         connection = green_socket.create_connection(self.server.address)
