Follow a store that comes back from an older copy

The store of the platform may come back from a copy some seconds old: revisions and lease ids are given out again, and the header Store-Era rises. Nothing read the header, so that followers ignored all lists with lower revisions, a watch went on in another history, and an instance could renew the lease of another one.

The adapter turns era and revision into one ordered position. What the copy has changed in the operators' state is held until their writes are back, entries of targets that the copy lacks are kept as after an outage, those of targets that left are not used, and the instance's lease and entry are written anew.

--- a/packages/daemon/src/tanagerreachd/gateway/__init__.py
+++ b/packages/daemon/src/tanagerreachd/gateway/__init__.py
@@ -15,11 +15,14 @@
     Source,
     SourceError,
     StoredItem,
+    StoreEraError,
 )
+from ._store_position import ERA_MAX, REVISION_MAX, era_of, revision_of, store_position
 
 __all__ = [
     "CallerLimits",
     "Dialect",
+    "ERA_MAX",
     "Gateway",
     "GatewaySettings",
     "HistoryGoneError",
@@ -28,8 +31,13 @@
     "Member",
     "OperatorState",
     "Platform",
+    "REVISION_MAX",
     "RetryAllowance",
     "Source",
     "SourceError",
+    "StoreEraError",
     "StoredItem",
+    "era_of",
+    "revision_of",
+    "store_position",
 ]
--- a/packages/daemon/src/tanagerreachd/gateway/_followers.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_followers.py
@@ -16,7 +16,9 @@
 
 from .. import _clock
 from .._logs import InstanceLog
-from ._sources import HistoryGoneError, Listing, OperatorState, Platform, SourceError, StoredItem
+from ._operator_items import OperatorItems
+from ._sources import HistoryGoneError, Listing, OperatorState, Platform, SourceError
+from ._store_position import era_of
 from ._target_directory import TargetDirectory
 
 # Longest wait of a watch of the operator state; heartbeats of peers announce changes it misses.
@@ -152,8 +154,7 @@
         self._on_state = on_state
         self._log = log
         self._availability = _Availability(part="operator state", log=log, random=random)
-        self._items: dict[str, StoredItem] = {}
-        self._revision = -1
+        self._items = OperatorItems(may_replace=platform.may_replace)
         self._peer_version = -1
         self._needs_read = False
         self._read_requested = Event()
@@ -184,14 +185,23 @@
 
     def listing(self) -> Listing:
         """Return the items as they were read, for a peer."""
-        return Listing(items=list(self._items.values()), revision=self._revision)
+        return self._items.listing(_clock.now_s())
+
+    @property
+    def _revision(self) -> int:
+        return self._items.revision
 
     def run_read(self) -> None:
         """Read the state once at start, whenever a peer has a newer one, and after a failure."""
         if self._revision < 0:
             self._read()
             return
-        self._read_requested.wait()
+        is_requested = self._read_requested.wait(self._items.held_left_s(_clock.now_s()))
+        if self._items.release(_clock.now_s()):
+            self._log.info("held operator state released", kept_count=self._items.held_count)
+            self._apply()
+        if not is_requested:
+            return
         self._read_requested.clear()
         is_reader = self._is_reader()
         if is_reader:
@@ -233,6 +243,9 @@
             self.check()
             return False
         self._availability.record_success()
+        if self._revision < 0 and era_of(listing.revision) > 0:
+            # The store's copy may be older than what the peers have in force.
+            self._read_from_peer()
         self._replace(listing)
         return True
 
@@ -261,9 +274,8 @@
             self.check()
             return
         self._availability.record_success()
-        if changes.items:
-            self._update(changes)
-        self._revision = max(self._revision, changes.revision)
+        if self._items.update(changes):
+            self._apply(max(item.revision for item in changes.items))
         gevent.sleep(OPERATOR_PAUSE_S)
 
     def _wait(self) -> Listing:
@@ -294,25 +306,23 @@
     def _replace(self, listing: Listing) -> None:
         if listing.revision < self._revision:
             return
-        known = {key for key, item in self._items.items() if item.value is not None}
-        self._items = {item.key: item for item in listing.items}
-        self._revision = listing.revision
-        # The revisions of the items that are left do not tell of a removal.
-        has_removed = not known <= self._items.keys()
+        is_new_era = era_of(listing.revision) > era_of(self._revision)
+        has_removed = self._items.replace(listing, _clock.now_s())
+        if is_new_era and self._items.held_count:
+            self._log.info(
+                "operator state held",
+                held_count=self._items.held_count,
+                era=era_of(listing.revision),
+            )
+            # The loop of reads releases the items.
+            self._read_requested.set()
         self._apply(listing.revision if has_removed else -1)
 
-    def _update(self, changes: Listing) -> None:
-        for item in changes.items:
-            known = self._items.get(item.key)
-            if known is not None and known.revision >= item.revision:
-                continue
-            self._items[item.key] = item
-        self._apply(max(item.revision for item in changes.items))
-
     def _apply(self, version: int = -1) -> None:
-        present = [item for item in self._items.values() if item.value is not None]
-        version = max([version, self.version, *(item.revision for item in self._items.values())])
-        state = self._platform.decode_operator_state(Listing(items=present, revision=version))
+        version = max(version, self.version, self._items.newest_revision)
+        state = self._platform.decode_operator_state(
+            Listing(items=self._items.in_force(), revision=version)
+        )
         if state is None:
             self._log.warning("operator state cannot be decoded", revision=version)
             return
--- a/packages/daemon/src/tanagerreachd/gateway/_instance.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_instance.py
@@ -57,6 +57,7 @@
 from ._retry_budgets import RetryBudgets
 from ._settings import GatewaySettings
 from ._sources import CallerLimits, OperatorState, Platform
+from ._store_position import era_of
 from ._target_directory import TargetDirectory
 from ._traffic import TrafficCounts
 
@@ -125,6 +126,12 @@
             log=log,
         )
         platform.observe_calls(self._traffic.add_call)
+        platform.observe_era(self._on_era)
+        self._metrics.gauge(
+            "tanagerreach_store_era",
+            "Era of the platform's store, which rises when it comes back from an older copy",
+            lambda: platform.era,
+        )
         self._build_peers()
         self._build_store()
         self._build_homes()
@@ -421,6 +428,8 @@
             self._targets.check()
         self._crashes.merge(state.name, state.crash_reports, _clock.now_s() - age_s)
         self._operators.record_peer_version(state.configuration_version)
+        if era_of(state.configuration_version) > self._platform.era:
+            self._targets.check()
         if change.is_serving_changed and not change.was_silent:
             is_serving = state.is_serving and not state.is_leaving
             self._log.info("peer changed", peer=state.name, is_serving=is_serving)
@@ -454,6 +463,12 @@
         )
         self._membership.send_heartbeats()
 
+    def _on_era(self, era: int) -> None:
+        """Read the operator state and register again, as the store lost its latest writes."""
+        self._log.warning("store came back from an older copy", era=era)
+        self._operators.check()
+        self._membership.register_again()
+
     def _on_availability(self) -> None:
         """Tell peers that the store became unreachable or reachable, so that homes move."""
         self._peer_table.own_store_reachable = self._targets.store_reachable
--- a/packages/daemon/src/tanagerreachd/gateway/_membership.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_membership.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import gevent
+from gevent.event import Event
 from tanagerreach_core.messages import Heartbeat, NewsKind, PeerNews, PeerState
 from tanagerreach_core.placement import FleetNews, PeerChange, PeerTable
 
@@ -17,6 +18,8 @@
 # Entries of instances expire after ten minutes.
 REGISTRATION_INTERVAL_S = 180.0
 REGISTRATION_RETRY_S = 0.7
+# Time over which the instances of a fleet register anew in a new era of the store.
+REGISTRATION_SPREAD_S = 1.0
 # Instances that start together may each read the list before the others have registered.
 MEMBERS_REREAD_S = 1.5
 # Peers that an instance asks for the states of all when it starts, and least time between two
@@ -42,6 +45,7 @@
         "_asked_s",
         "_describe",
         "_has_news",
+        "_is_registered",
         "_is_leaving",
         "_latest_beat",
         "_log",
@@ -51,6 +55,7 @@
         "_peer_table",
         "_platform",
         "_random",
+        "_registration_requested",
         "_send",
         "_settings",
         "knows_members",
@@ -84,6 +89,8 @@
         )
         self._latest_beat = 0
         self._has_news = False
+        self._is_registered = False
+        self._registration_requested = Event()
         self._is_leaving = False
         self._asked_s = float("-inf")
         self._lost_home_s = float("-inf")
@@ -175,14 +182,18 @@
 
     # Registration
 
+    def register_again(self) -> None:
+        """Register again soon, as the store may have lost the registration."""
+        self._registration_requested.set()
+
     def register(self) -> None:
         """Register this instance and read the other members, at intervals until the stop."""
-        is_registered = False
         is_first_read = True
         while not self._is_leaving:
             pause_s = REGISTRATION_RETRY_S * self._random.uniform(0.7, 1.3)
             try:
-                if not is_registered:
+                if not self._is_registered:
+                    self._registration_requested.clear()
                     self._platform.register(
                         self._settings.instance_name,
                         Member(
@@ -190,15 +201,17 @@
                             data_centre=self._settings.data_centre,
                         ),
                     )
-                    is_registered = True
+                    self._is_registered = True
                 self._add_members(self._platform.members())
                 pause_s = MEMBERS_REREAD_S if is_first_read else REGISTRATION_INTERVAL_S
                 is_first_read = False
                 # After the long interval the entry is renewed before the list is read.
-                is_registered = pause_s < REGISTRATION_INTERVAL_S
+                self._is_registered = pause_s < REGISTRATION_INTERVAL_S
             except SourceError as error:
                 self._log.debug("registration or reading of members failed", reason=str(error))
-            gevent.sleep(pause_s)
+            if self._registration_requested.wait(pause_s):
+                self._is_registered = False
+                gevent.sleep(self._random.uniform(0, REGISTRATION_SPREAD_S))
 
     def _add_members(self, members: dict[str, Member]) -> None:
         now_s = _clock.now_s()
--- a/packages/daemon/src/tanagerreachd/gateway/_peer_state.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_peer_state.py
@@ -36,6 +36,8 @@
 class _Items(msgspec.Struct, array_like=True):
     items: list[_Item]
     revision: int
+    held_items: list[_Item] = []
+    held_left_s: float = 0.0
 
 
 class PeerStateServer:
@@ -73,8 +75,7 @@
         if listing is None or listing.revision < 0:
             start_response("404 Not Found", [("Content-Length", "0")])
             return []
-        items = [_Item(item.key, item.value, item.revision) for item in listing.items]
-        body = msgspec.msgpack.encode(_Items(items, listing.revision))
+        body = msgspec.msgpack.encode(_fields(listing))
         headers = []
         if COMPRESSION in environ.get("HTTP_ACCEPT_ENCODING", ""):
             headers.append(("Content-Encoding", COMPRESSION))
@@ -124,10 +125,27 @@
                     "no usable state from peer", peer=address, path=path, reason=str(error)
                 )
                 continue
-            items = [
-                StoredItem(key=item.key, value=item.value, revision=item.revision)
-                for item in found.items
-            ]
             self._log.info("state read from a peer", peer=address, path=path)
-            return Listing(items=items, revision=found.revision)
+            return Listing(
+                items=_stored(found.items),
+                revision=found.revision,
+                held_items=_stored(found.held_items),
+                held_left_s=found.held_left_s,
+            )
         return None
+
+
+def _fields(listing: Listing) -> list[Any]:
+    """Return the fields of :class:`_Items`, without those of held items when there are none."""
+    fields: list[Any] = [_encodable(listing.items), listing.revision]
+    if listing.held_items:
+        fields += [_encodable(listing.held_items), listing.held_left_s]
+    return fields
+
+
+def _encodable(items: list[StoredItem]) -> list[_Item]:
+    return [_Item(item.key, item.value, item.revision) for item in items]
+
+
+def _stored(items: list[_Item]) -> list[StoredItem]:
+    return [StoredItem(key=item.key, value=item.value, revision=item.revision) for item in items]
--- a/packages/daemon/src/tanagerreachd/gateway/_sources.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_sources.py
@@ -2,7 +2,7 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from tanagerreach_core.config import Configuration
 
@@ -22,6 +22,10 @@
     """The store no longer has the requested changes; read all items again."""
 
 
+class StoreEraError(SourceError):
+    """A call rests on another era of the store than its answer; read the items and decide anew."""
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class CallerLimits:
     """Size and time limits for callers."""
@@ -36,7 +40,7 @@
 class OperatorState:
     """Operator input: the configuration, including the data centres out of service.
 
-    :param version: the store revision of its newest item.
+    :param version: the store position of its newest item.
     """
 
     version: int
@@ -84,7 +88,11 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class StoredItem:
-    """An item read from the store; ``value`` is ``None`` for a removed one."""
+    """An item read from the store.
+
+    :param value: ``None`` for a removed item.
+    :param revision: position of its last change, ordered over the store's eras.
+    """
 
     key: str
     value: bytes | None
@@ -93,10 +101,18 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Listing:
-    """Items below one prefix, or the changes among them, up to a revision of the store."""
+    """Items below one prefix, or the changes among them.
+
+    :param revision: position in the store up to which it tells, ordered over the store's eras.
+    :param held_items: items that a peer has in force in place of the listed ones, after the store
+        came back from an older copy; their value is ``None`` where none is in force.
+    :param held_left_s: time for which the peer holds them.
+    """
 
     items: list[StoredItem]
     revision: int
+    held_items: list[StoredItem] = field(default_factory=list)
+    held_left_s: float = 0.0
 
 
 class Source(ABC):
@@ -112,9 +128,9 @@
 
     @abstractmethod
     def wait(self, after: int, wait_s: float) -> Listing:
-        """Wait for changes after a revision; the listing is empty when there are none.
+        """Wait for changes after a position; the listing is empty when there are none.
 
-        :raises HistoryGoneError: when the store no longer has the changes.
+        :raises HistoryGoneError: when the store no longer has the changes, or is in another era.
         :raises SourceError: when there is no usable response.
         """
 
@@ -139,6 +155,25 @@
         :param on_call: called with the kind of the call and the part of the store that it is for.
         """
 
+    @abstractmethod
+    def observe_era(self, on_era: Callable[[int], None]) -> None:
+        """Report each rise of the store's era after the first answer.
+
+        :param on_era: called with the new era.
+        """
+
+    @property
+    @abstractmethod
+    def era(self) -> int:
+        """Newest era of the store that an answer showed, -1 before the first answer."""
+
+    @abstractmethod
+    def may_replace(self, known: StoredItem, item: StoredItem | None) -> bool:
+        """Return whether an item of the operator state may take effect in place of a known one.
+
+        :param item: ``None`` when the store has no such item.
+        """
+
     @abstractmethod
     def decode_operator_state(self, listing: Listing) -> OperatorState | None:
         """Decode the operator state; ``None`` when there is no usable configuration."""
--- a/packages/daemon/src/tanagerreachd/gateway/_target_directory.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_target_directory.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from ._sources import ListedTarget, Listing, StoredItem
+from ._store_position import era_of
 
 # Targets whose entries expired during a store outage register again within 2 s of its end.
 RETURN_GRACE_S = 2.2
@@ -13,6 +14,9 @@
 # this share and this count are targets that left meanwhile.
 LAPSED_SHARE = 0.2
 LAPSED_COUNT_MIN = 2
+# A store that comes back from an older copy may list targets that left up to this long before. The
+# copy is some seconds old.
+LEFT_MEMORY_S = 60.0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -24,6 +28,15 @@
     is_missing: bool = False
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class _LeftEntry:
+    """The last entry of a target that left, and when that was known."""
+
+    item: StoredItem
+    target: ListedTarget
+    left_s: float
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class KnownTarget:
     """A target with the end of its cold phase by this instance's clock.
@@ -48,6 +61,7 @@
         "_last_response_s",
         "_decode",
         "_entries",
+        "_left",
         "_store_restored_s",
         "_is_outage",
         "_is_store_unreachable",
@@ -65,6 +79,7 @@
         self._decode = decode
         self._on_skipped = on_skipped
         self._entries: dict[str, _Entry] = {}
+        self._left: dict[str, _LeftEntry] = {}
         self._is_store_unreachable = False
         self._is_outage = False
         self._store_restored_s = float("-inf")
@@ -91,7 +106,9 @@
             self._record_response(0, now_s)
             return False
         listed = {item.key for item in listing.items}
-        self._record_response(len(set(self._entries) - listed), now_s)
+        is_new_era = self.revision >= 0 and era_of(listing.revision) > era_of(self.revision)
+        missing_count = len(set(self._entries) - listed)
+        self._record_response(missing_count, now_s, has_lost_writes=is_new_era)
         for item in listing.items:
             self._put(item, now_s)
         for key in set(self._entries) - listed:
@@ -126,7 +143,7 @@
             return False
         late = [key for key, entry in self._entries.items() if entry.is_missing]
         for key in late:
-            del self._entries[key]
+            self._forget(key, now_s)
         return bool(late)
 
     def of_service(self, service: str) -> list[KnownTarget]:
@@ -161,10 +178,12 @@
     def __len__(self) -> int:
         return len(self._entries)
 
-    def _record_response(self, missing_count: int, now_s: float) -> None:
+    def _record_response(
+        self, missing_count: int, now_s: float, *, has_lost_writes: bool = False
+    ) -> None:
         lapsed_count = max(LAPSED_COUNT_MIN, LAPSED_SHARE * len(self._entries))
         was_outage = self._is_outage and now_s - self._last_response_s >= OUTAGE_MIN_S
-        if was_outage and missing_count >= lapsed_count:
+        if has_lost_writes or (was_outage and missing_count >= lapsed_count):
             self._store_restored_s = now_s
             self._outage_began_s = self._last_response_s
         self._is_store_unreachable = self._is_outage = False
@@ -176,6 +195,8 @@
             known.is_missing = False
             return
         target = self._decode(item)
+        if target is not None and self._is_of_older_copy(item, target, known):
+            return
         if target is None and (known is None or known.target is not None):
             self._on_skipped(item)
         if _is_outdated(target, known):
@@ -186,6 +207,23 @@
         if target is not None and target.cold_left_s > 0:
             cold_until_s = now_s + target.cold_left_s
         self._entries[item.key] = _Entry(item=item, target=target, cold_until_s=cold_until_s)
+        self._left.pop(item.key, None)
+
+    def _is_of_older_copy(
+        self, item: StoredItem, target: ListedTarget, known: _Entry | None
+    ) -> bool:
+        """Return whether an entry of a new era tells nothing newer than was known before it."""
+        if known is not None:
+            if target != known.target or era_of(item.revision) == era_of(known.item.revision):
+                return False
+            # The end of the cold phase counts from the write that is known.
+            known.item = item
+            known.is_missing = False
+            return True
+        left = self._left.get(item.key)
+        if left is None or era_of(item.revision) == era_of(left.item.revision):
+            return False
+        return target.started_ms > 0 and not left.target.is_older_than(target)
 
     def _remove(self, key: str, now_s: float) -> None:
         """Remove an entry at once, or mark it missing shortly after a store outage."""
@@ -195,7 +233,15 @@
         if now_s - self._store_restored_s < RETURN_GRACE_S:
             entry.is_missing = True
         else:
-            del self._entries[key]
+            self._forget(key, now_s)
+
+    def _forget(self, key: str, now_s: float) -> None:
+        entry = self._entries.pop(key)
+        expired_s = now_s - LEFT_MEMORY_S
+        for name in [name for name, left in self._left.items() if left.left_s < expired_s]:
+            del self._left[name]
+        if entry.target is not None:
+            self._left[key] = _LeftEntry(item=entry.item, target=entry.target, left_s=now_s)
 
 
 def _is_outdated(target: ListedTarget | None, known: _Entry | None) -> bool:
--- a/packages/daemon/tests/test_gateway_followers.py
+++ b/packages/daemon/tests/test_gateway_followers.py
@@ -6,7 +6,7 @@
 
 import gevent
 from tanagerreachd import _clock
-from tanagerreachd.gateway import Listing, SourceError, StoredItem
+from tanagerreachd.gateway import Listing, SourceError, StoredItem, _operator_items, store_position
 from tanagerreachd.gateway._followers import OperatorStateFollower, TargetFollower
 from tanagerreachd.gateway._target_directory import TargetDirectory
 
@@ -176,6 +176,70 @@
         self.assertEqual(versions, [5, 9, 9])
 
 
+class NewEraTest(unittest.TestCase):
+    """A store that comes back from a copy with an older configuration and lower revisions."""
+
+    def setUp(self):
+        self.source = mock.Mock()
+        self.follower = OperatorStateFollower(
+            platform=mock.Mock(
+                operator_items=self.source,
+                decode_operator_state=operator_state,
+                may_replace=lambda known, item: item is not None and item.value >= known.value,
+            ),
+            on_state=lambda state: None,
+            is_reader=lambda: True,
+            log=mock.Mock(),
+            random=Random(1),
+        )
+
+    @staticmethod
+    def listing(era, revision, value):
+        position = store_position(era, revision)
+        item = StoredItem(key="op/config", value=value, revision=position)
+        return Listing(items=[item], revision=position)
+
+    def in_force(self):
+        return {item.value for item in self.follower._items.in_force()}
+
+    def read(self, listing):
+        self.source.read.side_effect = [listing]
+        self.follower.check()
+        self.follower.run_read()
+
+    def test_lower_revisions_are_ignored(self):
+        """Guards against an instance that stops to follow the state, and peers that do not read."""
+        self.read(self.listing(0, 90, b"2"))
+        self.read(self.listing(1, 80, b"1"))
+        self.assertEqual(self.follower.version, store_position(1, 80))
+        self.assertEqual(self.in_force(), {b"2"})
+        self.read(self.listing(1, 81, b"3"))
+        self.assertEqual(self.follower.version, store_position(1, 81))
+        self.assertEqual(self.in_force(), {b"3"})
+
+    def test_instance_that_starts_reads_the_copy_only(self):
+        """Guards against an older configuration at an instance that starts before its return."""
+        peer = self.listing(0, 90, b"2")
+        self.follower.set_peer_reader(lambda: peer)
+        self.read(self.listing(1, 80, b"1"))
+        self.assertEqual(self.in_force(), {b"2"})
+        self.assertEqual(self.follower.version, store_position(1, 80))
+
+    def test_released_items_wait_for_a_read(self):
+        """Guards against held items that stay in force as nothing causes a read."""
+        removed = StoredItem(key="op/evacuate/a", value=b"0", revision=90)
+        first = self.listing(0, 90, b"2")
+        self.read(Listing(items=[*first.items, removed], revision=90))
+        self.follower._platform.may_replace = self.follower._items._may_replace = mock.Mock()
+        with mock.patch.object(_operator_items, "OPERATOR_RETURN_S", 0.3):
+            self.read(self.listing(1, 80, b"2"))
+        self.assertEqual(self.in_force(), {b"2", b"0"})
+        loop = gevent.spawn(lambda: [self.follower.run_read() for _ in range(9)])
+        gevent.sleep(0.6)
+        loop.kill()
+        self.assertEqual(self.in_force(), {b"2"})
+
+
 class OperatorStateFollowerTest(unittest.TestCase):
     """Configurations that are written while and after the store hangs."""
 
--- a/packages/daemon/tests/test_gateway_homes.py
+++ b/packages/daemon/tests/test_gateway_homes.py
@@ -1,5 +1,6 @@
 """Homes of services: placements, quota, and the directory of targets."""
 
+import dataclasses
 import unittest
 from unittest import mock
 
@@ -14,7 +15,7 @@
 from tanagerreach_core.placement import CrashStreaks, PeerTable
 from tanagerreach_core.traffic import Outcome
 from tanagerreachd import _clock
-from tanagerreachd.gateway import ListedTarget, Listing, StoredItem
+from tanagerreachd.gateway import ListedTarget, Listing, StoredItem, store_position
 from tanagerreachd.gateway._home_server import HomeServer
 from tanagerreachd.gateway._target_directory import RETURN_GRACE_S, TargetDirectory
 
@@ -169,6 +170,62 @@
         self.assertTrue(other.is_granted)
 
 
+class NewEraTest(unittest.TestCase):
+    """A directory over the return of the store from an older copy."""
+
+    def setUp(self):
+        self.directory = TargetDirectory(decode=self.decoded, on_skipped=lambda item: None)
+        self.replace(0, 90, 0.0, t1=4, t2=4)
+
+    @staticmethod
+    def decoded(item):
+        """Decode a sequence, after which a target may be ``leaving``; it is cold for 3 s."""
+        target = decoded(StoredItem(key=item.key, value=b"a", revision=0))
+        sequence, _, state = item.value.decode().partition(" ")
+        is_leaving = state == "leaving"
+        fields = {"sequence": int(sequence), "started_ms": 1, "cold_left_s": 3.0}
+        return dataclasses.replace(target, is_leaving=is_leaving, **fields)
+
+    def replace(self, era, revision, now_s, **targets):
+        position = store_position(era, revision)
+        self.directory.replace(listing(position, **{k: str(v) for k, v in targets.items()}), now_s)
+
+    def cold_until_s(self):
+        return {known.target.name: known.cold_until_s for known in self.directory.of_service("s")}
+
+    def test_entries_that_the_copy_lacks(self):
+        """Guards against targets that are not used until they have registered again."""
+        self.replace(1, 80, 1.0, t1=4)
+        self.assertIn("t2", self.cold_until_s())
+        self.directory.drop_missing(1.0 + RETURN_GRACE_S - 0.1)
+        self.replace(1, 81, 2.0, t1=4, t3=1)
+        self.assertEqual(self.cold_until_s().keys(), {"t1", "t2", "t3"})
+        self.directory.drop_missing(1.0 + RETURN_GRACE_S + 0.1)
+        self.assertEqual(self.cold_until_s().keys(), {"t1", "t3"})
+
+    def test_target_that_left_is_in_the_copy(self):
+        """Guards against requests to targets that left, or are leaving, since the copy."""
+        self.replace(0, 91, 1.0, t1="5 leaving")
+        self.replace(1, 80, 2.0, t1=4, t2=4)
+        self.assertEqual(self.cold_until_s(), {})
+        # A target that registers again is used at once.
+        self.replace(1, 81, 2.5, t1=6, t2=5)
+        self.assertEqual(self.cold_until_s().keys(), {"t1", "t2"})
+
+    def test_target_that_left_in_the_era_before(self):
+        """Guards against a target that left between two returns and is in the second copy."""
+        self.replace(1, 80, 1.0, t1=4, t2=4)
+        self.replace(1, 85, 4.0, t1=4)
+        self.replace(2, 80, 5.0, t1=4, t2=4)
+        self.assertEqual(self.cold_until_s().keys(), {"t1"})
+
+    def test_cold_phase_begins_anew(self):
+        """Guards against cold phases that are counted again from the return of the store."""
+        before = self.cold_until_s()
+        self.replace(1, 80, 2.0, t1=4, t2=4)
+        self.assertEqual(self.cold_until_s(), before)
+
+
 class TargetDirectoryTest(unittest.TestCase):
     """Removal of entries, with and without a store outage."""
 
--- a/packages/daemon/tests/test_peer_state.py
+++ b/packages/daemon/tests/test_peer_state.py
@@ -88,6 +88,13 @@
             for _ in range(2):
                 self.assertEqual(in_thread(client.read, OPERATOR_PATH), self.listing)
 
+    def test_held_items_are_lost_on_their_way(self):
+        """Guards against an instance that starts and takes an older copy of the store for new."""
+        item = StoredItem(key="op/evacuate/dc-1", value=None, revision=40)
+        self.listing = Listing(items=[], revision=48, held_items=[item], held_left_s=1.5)
+        client = PeerStateClient(addresses=lambda: [self.address], log=mock.Mock())
+        self.assertEqual(in_thread(client.read, OPERATOR_PATH), self.listing)
+
     def test_damaged_listing_is_read(self):
         """Guards against a reader that stops at a body which cannot be decompressed."""
         log = mock.Mock()
