--- a/packages/core/src/tanagerreach_core/_placement.py
+++ b/packages/core/src/tanagerreach_core/_placement.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass
 
 from ._crash_streaks import CrashStreaks
+from ._expected_work import NO_LATE_COSTS, ExpectedWork, TargetWork, late_costs
 from ._failure_estimator import FailureEstimator
 from ._outcomes import FAILURES, NOT_STARTED, Outcome
 from ._placement_messages import (
@@ -35,6 +36,7 @@
     IdleTargetUse,
     idle_target_use,
 )
+from ._work_distribution import WorkDistribution
 
 MS_PER_S = 1000.0
 PERCENT = 100
@@ -114,6 +116,7 @@
         "_results",
         "_slot_count",
         "_targets",
+        "_work",
     )
 
     def __init__(self, *, floor_share: float, crashes: CrashStreaks | None = None) -> None:
@@ -133,6 +136,8 @@
         self._lent_share = 1.0
         self._lost_checked_at_s = float("-inf")
         self._latency = ServiceLatency()
+        # Expected work of requests, while they are placed by it.
+        self._work: ExpectedWork | None = None
 
     def __len__(self) -> int:
         return len(self._queue)
@@ -174,6 +179,7 @@
                     joined_s=now_s,
                     user_share=self._user_share,
                     lent_share=self._lent_share,
+                    work=None if self._work is None else TargetWork(now_s=now_s),
                 )
             else:
                 if known.spec.started_ms != spec.started_ms:
@@ -185,6 +191,17 @@
         self._idle_plan = None
         self._slot_count = sum(target.slot_count for target in wanted.values())
 
+    def set_places_by_cost(self, places_by_cost: bool, now_s: float) -> None:
+        """Set whether the expected work of requests decides, rather than their number."""
+        if places_by_cost == (self._work is not None):
+            return
+        self._work = ExpectedWork(latency=self._latency, now_s=now_s) if places_by_cost else None
+        for state in self._targets.values():
+            state.work = TargetWork(now_s=now_s) if places_by_cost else None
+        for placed in self._placed.values():
+            placed.work = self._work_of(placed.request.placement_request, now_s)
+        self._ranking.invalidate()
+
     def set_user_share(self, user_share: float) -> None:
         """Set the share of the instances that use this home, from 0 to 1."""
         if user_share == self._user_share:
@@ -271,7 +288,12 @@
             placed.started_s
         )
         if outcome is not Outcome.TIMEOUT or is_conclusive:
-            state.observe(key[0], outcome, latency_s, self.service_time_s, now_s)
+            compared_s = latency_s
+            if placed.work is not None:
+                compared_s *= self.service_time_s / placed.work.mean_s
+            state.observe(key[0], outcome, compared_s, self.service_time_s, now_s)
+        if outcome is Outcome.SUCCESS:
+            self._record_work(placed, state, latency_s, now_s)
         self._ranking.update(state, self._latency, now_s)
         if outcome is Outcome.SUCCESS:
             self._latency.record(latency_s)
@@ -283,6 +305,22 @@
             failing_after=state.failure_estimator.failure_probability(now_s),
         )
 
+    def _work_of(
+        self, placement_request: PlacementRequest, now_s: float
+    ) -> WorkDistribution | None:
+        if self._work is None:
+            return None
+        return self._work.of(placement_request.work_class, placement_request.path_shape, now_s)
+
+    def _record_work(
+        self, placed: PlacedRequest, state: TargetState, latency_s: float, now_s: float
+    ) -> None:
+        """Record the latency of a request that got its response."""
+        if self._work is None or state.work is None or placed.work is None:
+            return
+        state.work.record(placed.work.mean_s, latency_s, self.service_time_s, now_s)
+        placed.work.record(latency_s, now_s)
+
     def record_notice(
         self, key: tuple[str, int], target: str, notice: TargetNotice, age_s: float, now_s: float
     ) -> bool:
@@ -357,6 +395,8 @@
         self._crashes.adopt(digest.crash_streaks, now_s)
         if not self._placed:
             self._latency.adopt(digest.service_time_ms / MS_PER_S)
+            if self._work is not None:
+                self._work.adopt_mean(now_s)
 
     def _adopt_notices(self, digest: FailureDigest, now_s: float) -> None:
         """Adopt the notices of targets that have sent no response here."""
@@ -461,10 +501,16 @@
         state = self._choose(request, now_s)
         if state is None:
             return None
-        placed = PlacedRequest(request=request, target=state.spec.name, started_s=now_s)
+        placed = PlacedRequest(
+            request=request,
+            target=state.spec.name,
+            started_s=now_s,
+            work=self._work_of(placement_request, now_s),
+        )
         self._placed[request.key] = placed
         failure_probability = self._ranking.failure_probability(state.spec.name)
         state.start(placed)
+        work_left_s = 0.0 if state.work is None else state.work.left_s
         self._ranking.update(state, self._latency, now_s)
         return PlacementReply(
             call_id=placement_request.call_id,
@@ -480,6 +526,8 @@
             response_age_ms=_age_ms(state.responded_s, now_s),
             started_ms=state.spec.started_ms,
             is_listed=state.spec.is_listed,
+            expected_work_ms=0 if placed.work is None else int(MS_PER_S * placed.work.mean_s),
+            work_left_ms=int(MS_PER_S * work_left_s),
         )
 
     def _min_service_time_s(self) -> float:
@@ -523,7 +571,14 @@
             )
             if idle is not None:
                 return idle
-        return self._ranking.best(request, self._failure_probability_limit(request, now_s), now_s)
+        highest = self._failure_probability_limit(request, now_s)
+        work = self._work_of(request.placement_request, now_s)
+        if work is None:
+            return self._ranking.best(request, highest, now_s)
+        costs = NO_LATE_COSTS
+        if self._ranking.has_slow:
+            costs = late_costs(work, request.objective_s - now_s)
+        return self._ranking.best(request, highest, now_s, costs)
 
     def _plan_idle_targets(self, now_s: float) -> IdleTargetPlan:
         return IdleTargetPlan(
--- a/packages/core/src/tanagerreach_core/_placement_messages.py
+++ b/packages/core/src/tanagerreach_core/_placement_messages.py
@@ -71,6 +71,8 @@
     also when the home's list of targets may be out of date. ``is_decided_alone`` is set by an
     instance that places the request itself because no home replied. ``is_in_flight`` states that a
     target is still working on the request, so that a refusal does not leave it unserved.
+    ``work_class`` and ``path_shape`` tell requests apart that likely take different times; both
+    are 0 when the requester does not say it.
     """
 
     call_id: int
@@ -87,6 +89,8 @@
     accepts_stale: bool = False
     is_decided_alone: bool = False
     is_in_flight: bool = False
+    work_class: int = 0
+    path_shape: int = 0
 
 
 class PlacementReply(msgspec.Struct, kw_only=True, array_like=True, tag=21):
@@ -97,7 +101,9 @@
     the target's start time. Some fields explain the decision in logs: ``failure_percent`` is the
     probability that the target fails requests now, ``waiting_count`` the length of the queue,
     ``free_slot_count`` the number of the targets' free slots, ``list_age_ms`` the age of the latest
-    list of targets that has the target, ``is_listed`` whether that is the home's latest one.
+    list of targets that has the target, ``is_listed`` whether that is the home's latest one,
+    ``expected_work_ms`` how long the request is expected to run and ``work_left_ms`` the sum of
+    what ran at the target before it; both are 0 when requests are placed by their number.
     """
 
     call_id: int
@@ -116,6 +122,8 @@
     response_age_ms: int = -1
     started_ms: int = 0
     is_listed: bool = True
+    expected_work_ms: int = 0
+    work_left_ms: int = 0
 
 
 class PlacementCompletion(msgspec.Struct, kw_only=True, array_like=True, tag=22):
--- a/packages/core/src/tanagerreach_core/_service_latency.py
+++ b/packages/core/src/tanagerreach_core/_service_latency.py
@@ -32,7 +32,7 @@
     def __init__(self) -> None:
         self.mean_s = INITIAL_MEAN_S
         # Share of requests that take longer than each class's limit.
-        self._late_shares = _initial_late_shares(INITIAL_MEAN_S)
+        self._late_shares = exponential_late_shares(INITIAL_MEAN_S)
         self._high_s = INITIAL_HIGH_RATIO * INITIAL_MEAN_S
 
     @property
@@ -66,9 +66,9 @@
             return
         self._high_s *= mean_s / self.mean_s
         self.mean_s = mean_s
-        self._late_shares = _initial_late_shares(mean_s)
+        self._late_shares = exponential_late_shares(mean_s)
 
 
-def _initial_late_shares(mean_s: float) -> list[float]:
-    """Return the shares of an exponential distribution, until latencies are known."""
+def exponential_late_shares(mean_s: float) -> list[float]:
+    """Return the late shares of an exponential distribution, until latencies are known."""
     return [math.exp(-limit_s / mean_s) for limit_s in CLASS_LIMITS_S]
--- a/packages/core/src/tanagerreach_core/_target_ranking.py
+++ b/packages/core/src/tanagerreach_core/_target_ranking.py
@@ -9,6 +9,7 @@
 import bisect
 from collections.abc import Iterable
 
+from ._expected_work import NO_LATE_COSTS
 from ._service_latency import ServiceLatency
 from ._start_time_fair_queue import WaitingRequest
 from ._target_state import DISTANCE_WEIGHT, UNTRIED_PREFERENCE, TargetState
@@ -29,6 +30,7 @@
         "_capacity",
         "_entries",
         "_evaluated_s",
+        "_has_slow",
         "_healthy",
         "_numbers",
         "_probabilities",
@@ -44,6 +46,7 @@
         self._ranked: dict[str, _Entry] = {}
         self._probabilities: dict[str, float] = {}
         self._healthy: set[str] = set()
+        self._has_slow = False
         self._capacity = 0.0
         # Failure probabilities of the targets that have room, in order.
         self._ranked_probabilities: list[float] = []
@@ -78,6 +81,7 @@
             if state.has_room(now_s):
                 self._ranked[name] = entry
         self._entries = sorted(self._ranked.values())
+        self._has_slow = any(entry[3].slowness_step for entry in self._entries)
         self._ranked_probabilities = sorted(entry[2] for entry in self._entries)
         return True
 
@@ -111,16 +115,26 @@
         """Return the failure probability of a target at its last evaluation."""
         return self._probabilities[name]
 
+    @property
+    def has_slow(self) -> bool:
+        """Whether a target with room was slower than expected at the last evaluation."""
+        return self._has_slow
+
     def has_healthy(self, excluded: Iterable[str]) -> bool:
         """Return whether a target that is not excluded is likely healthy, even if it is busy."""
         return len(self._healthy.difference(excluded)) > 0
 
     def best(
-        self, request: WaitingRequest, highest_failure_probability: float, now_s: float
+        self,
+        request: WaitingRequest,
+        highest_failure_probability: float,
+        now_s: float,
+        late_costs: tuple[float, ...] = NO_LATE_COSTS,
     ) -> TargetState | None:
         """Return the target with room that costs least for a request.
 
         :param highest_failure_probability: bound on the target's failure probability.
+        :param late_costs: what the chance of a late response adds, by the target's slowness.
         """
         probabilities = self._ranked_probabilities
         if not probabilities or highest_failure_probability < probabilities[0]:
@@ -140,7 +154,7 @@
                 continue
             if is_decided_alone and (state.is_cold(now_s) or state.limit is not None):
                 continue
-            cost = lower_bound
+            cost = lower_bound + late_costs[state.slowness_step]
             if state.spec.data_centre != data_centre:
                 cost += DISTANCE_WEIGHT
             if state.is_untried and not state.may_try_first(request, now_s):
--- a/packages/core/src/tanagerreach_core/_target_state.py
+++ b/packages/core/src/tanagerreach_core/_target_state.py
@@ -3,6 +3,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from ._expected_work import TargetWork
 from ._failure_estimator import FailureEstimator
 from ._outcomes import FAILURES, Outcome
 from ._placement_messages import TargetNotice
@@ -10,6 +11,7 @@
 from ._start_time_fair_queue import WaitingRequest
 from ._target_limit import TargetLimit
 from ._target_notices import PAUSE_MAX_S
+from ._work_distribution import WorkDistribution
 
 # Share of a cold target's announced rate that is used, since the target may count its requests in
 # windows that begin at other times.
@@ -27,6 +29,9 @@
 LOAD_WEIGHT = 0.15
 DISTANCE_WEIGHT = 0.06
 LATENCY_WEIGHT = 0.05
+# Bounds on what a slow target, and the work left at one, add to its cost.
+SLOWNESS_MAX = 4.0
+WORK_LOAD_MAX = 2.0
 # A target that got no request since it joined is preferred for the next retryable request, and
 # after a pause for any request, so that it shares the load.
 UNTRIED_PREFERENCE = 0.4
@@ -66,11 +71,15 @@
 
 @dataclass(slots=True, kw_only=True)
 class PlacedRequest:
-    """A request that was placed at a target."""
+    """A request that was placed at a target.
+
+    :param work: distribution of its work, ``None`` while placement ignores it.
+    """
 
     request: WaitingRequest
     target: str
     started_s: float
+    work: WorkDistribution | None = None
 
 
 @dataclass(slots=True, kw_only=True)
@@ -104,6 +113,10 @@
     """Whether the target says that it takes no new requests."""
     responded_s: float = float("-inf")
     """Time of its latest response."""
+    work: TargetWork | None = None
+    """Slowness and work left, ``None`` while placement ignores them."""
+    slowness_step: int = 0
+    """Step of the slowness in the costs of late responses."""
 
     def _record_unreachable(self, requester: str, now_s: float) -> bool:
         """Record that an instance could not connect.
@@ -240,9 +253,10 @@
         for placed in self.in_flight.values():
             elapsed_s = now_s - placed.started_s
             recovered_s = placed.started_s + RECOVERED_AFTER_S
-            if elapsed_s <= latency.mean_s or self.has_served_since(recovered_s):
+            usual = placed.work or latency
+            if elapsed_s <= usual.mean_s or self.has_served_since(recovered_s):
                 continue
-            late_share = latency.late_share(elapsed_s)
+            late_share = usual.late_share(elapsed_s)
             when_failing = probability * (HANGING_SHARE + (1 - HANGING_SHARE) * late_share)
             probability = when_failing / (when_failing + (1 - probability) * late_share)
         return probability
@@ -294,10 +308,16 @@
         :param usual_s: mean latency of the service.
         """
         spec = self.spec
-        load = len(self.in_flight) / max(1, spec.slot_count)
-        cost = LOAD_WEIGHT * load * load
-        if self.failure_estimator.mean_latency_s and usual_s:
-            cost += LATENCY_WEIGHT * min(4.0, self.failure_estimator.mean_latency_s / usual_s)
+        work = self.work
+        if work is None:
+            load = len(self.in_flight) / max(1, spec.slot_count)
+            slowness = self.failure_estimator.mean_latency_s / usual_s if usual_s else 0.0
+        else:
+            work.evaluate(self.in_flight.values(), usual_s, now_s)
+            self.slowness_step = work.slowness_step
+            load = min(WORK_LOAD_MAX, work.left_s / (max(1, spec.slot_count) * usual_s))
+            slowness = work.slowness
+        cost = LOAD_WEIGHT * load * load + LATENCY_WEIGHT * min(SLOWNESS_MAX, slowness)
         if self.is_cold(now_s):
             cost += LOAD_WEIGHT
         if spec.cold_rate_per_s > 0:
--- a/packages/core/src/tanagerreach_core/placement.py
+++ b/packages/core/src/tanagerreach_core/placement.py
@@ -11,6 +11,7 @@
 from ._start_time_fair_queue import StartTimeFairQueue, WaitingRequest
 from ._target_notices import TargetNotices
 from ._target_state import PlacementTarget
+from ._work_class import path_shape, services_placed_by_cost, work_class
 from ._workspace_quota import WorkspaceQuota
 
 __all__ = [
@@ -37,4 +38,7 @@
     "awaits_retry",
     "late_try_obstacle",
     "may_retry",
+    "path_shape",
+    "services_placed_by_cost",
+    "work_class",
 ]
--- a/packages/daemon/src/tanagerreachd/gateway/_application.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_application.py
@@ -71,6 +71,7 @@
     :param resolver: returns the resolver of the configuration in force, ``None`` before there is
         one.
     :param limits: returns the caller limits in force.
+    :param places_by_cost: whether a service's requests are placed by their expected cost.
     """
 
     def __init__(
@@ -86,7 +87,9 @@
         watch: CallerWatch,
         traffic: TrafficCounts,
         log: RequestLog,
+        places_by_cost: Callable[[str], bool] = lambda service: False,
     ) -> None:
+        self._places_by_cost = places_by_cost
         self._traffic = traffic
         self._own_data_centre = own_data_centre
         self._dialect = dialect
@@ -372,6 +375,7 @@
             self._own_data_centre,
             _clock.now_s(),
             accepts_stale=accepts_stale,
+            tells_work=self._places_by_cost(request.service_name),
         )
 
     def _check_placement(self, request: GatewayRequest, placement: Placement) -> None:
--- a/packages/daemon/src/tanagerreachd/gateway/_home_server.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_home_server.py
@@ -71,6 +71,7 @@
     :param list_age_ms: age of the directory, for logs.
     :param floor_share: minimum share of a service's targets to keep in use, from 0 to 1.
     :param crashes: requests that may crash targets, as this instance knows them.
+    :param places_by_cost: whether a service's requests are placed by their expected cost.
     """
 
     def __init__(
@@ -86,7 +87,9 @@
         heartbeat_s: float,
         crashes: CrashStreaks,
         log: InstanceLog,
+        places_by_cost: Callable[[str], bool] = lambda service: False,
     ) -> None:
+        self._places_by_cost = places_by_cost
         self._crashes = crashes
         self._resolver = resolver
         self._peer_table = peer_table
@@ -236,6 +239,9 @@
             del self._services[name]
             self._last_request_s.pop(name, None)
             self._received_digests.pop(name, None)
+        now_s = _clock.now_s()
+        for name, service in self._services.items():
+            service.set_places_by_cost(self._places_by_cost(name), now_s)
         self.targets_changed()
 
     def targets_changed(self) -> None:
@@ -338,6 +344,7 @@
         )
         self._waiting[name] = {}
         self._set_shares(name, service, now_s)
+        service.set_places_by_cost(self._places_by_cost(name), now_s)
         service.configure(self._targets(name, now_s), now_s)
         received_digest = self._received_digests.get(name)
         digest_age_s = None if received_digest is None else now_s - received_digest[1]
@@ -348,6 +355,7 @@
             service=name,
             target_count=len(self._directory),
             digest_age_s=None if digest_age_s is None else round(digest_age_s, 2),
+            by_cost=self._places_by_cost(name),
         )
         return service
 
--- a/packages/daemon/src/tanagerreachd/gateway/_instance.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_instance.py
@@ -24,7 +24,13 @@
     QuotaRequest,
     RefusalNotice,
 )
-from tanagerreach_core.placement import TICK_S, CrashStreaks, PeerChange, PeerTable
+from tanagerreach_core.placement import (
+    TICK_S,
+    CrashStreaks,
+    PeerChange,
+    PeerTable,
+    services_placed_by_cost,
+)
 from tanagerreach_core.rights import service_rendezvous_key
 
 from .. import _clock
@@ -110,6 +116,7 @@
         self._is_ready_logged = False
         self._started_s = _clock.now_s()
         self._resolver: Resolver | None = None
+        self._placed_by_cost: frozenset[str] = frozenset()
         self._decodes_paths = dialect.decodes_paths
         self._limits = DEFAULT_LIMITS
         self._loops = Loops(on_failure=log.failure)
@@ -215,6 +222,7 @@
             heartbeat_s=self._settings.target_heartbeat_s,
             crashes=self._crashes,
             log=self._log,
+            places_by_cost=lambda service: service in self._placed_by_cost,
         )
         self._retry_budgets = RetryBudgets(
             allowance=self._settings.retry_allowance,
@@ -250,6 +258,7 @@
             watch=self._watch,
             traffic=self._traffic,
             log=RequestLog(log=self._log, metrics=self._metrics),
+            places_by_cost=lambda service: service in self._placed_by_cost,
         )
         self._callers = CallerServer(
             listener=(settings.callers_address.host, settings.callers_address.port),
@@ -442,12 +451,15 @@
         )
         self._callers.limits = _http_limits(self._limits)
         self._peer_table.own_is_home = not self._is_leaving
+        if self._settings.places_by_cost:
+            self._placed_by_cost = services_placed_by_cost(state.configuration)
         self._homes.apply_configuration(state.configuration)
         self._retry_budgets.drop_all_except(state.configuration.services)
         self._log.info(
             "configuration in force",
             revision=state.configuration.revision,
             version=state.version,
+            placed_by_cost=sorted(self._placed_by_cost),
             data_centres_out=sorted(
                 name for name, item in state.configuration.data_centres.items() if item.out
             ),
--- a/packages/daemon/src/tanagerreachd/gateway/_request.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_request.py
@@ -6,6 +6,7 @@
 
 from tanagerreach_core.config import RouteMatch, Workspace
 from tanagerreach_core.messages import PlacementRequest
+from tanagerreach_core.placement import path_shape, work_class
 from tanagerreach_core.traffic import Executed, Outcome, Try, executed, fingerprint
 
 from .._caller_body import CallerBody
@@ -126,8 +127,12 @@
         now_s: float,
         *,
         accepts_stale: bool,
+        tells_work: bool = False,
     ) -> PlacementRequest:
-        """Build the placement request."""
+        """Build the placement request.
+
+        :param tells_work: whether the home places requests by their expected cost.
+        """
         return PlacementRequest(
             call_id=call_id,
             service=self.service_name,
@@ -142,8 +147,15 @@
             excluded=self._excluded(),
             accepts_stale=accepts_stale,
             is_in_flight=bool(self.late_target),
+            work_class=self._work_class() if tells_work else 0,
+            path_shape=path_shape(self.raw_target) if tells_work else 0,
         )
 
+    def _work_class(self) -> int:
+        body = self.body
+        body_bytes = body.content_length if body.buffered is None else len(body.buffered)
+        return work_class(self.match.route.name, self.method, body_bytes)
+
     def _excluded(self) -> list[str]:
         excluded = [entry.target for entry in self.tries] + self.excluded_targets
         return [*excluded, self.late_target] if self.late_target else excluded
--- a/packages/daemon/src/tanagerreachd/gateway/_request_log.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_request_log.py
@@ -14,6 +14,7 @@
 # Lines for served requests; lines beyond either limit are only counted.
 SERVED_LINES_PER_S = 10.0
 FAILED_LINES_PER_S = 100.0
+MS_PER_S = 1000.0
 
 
 class _LineBudget:
@@ -49,9 +50,17 @@
         "free_slot_count": reply.free_slot_count,
         "list_age_ms": reply.list_age_ms,
         **({} if reply.is_listed else {"is_listed": False}),
+        **_work_inputs(reply),
     }
 
 
+def _work_inputs(reply: Any) -> dict[str, Any]:
+    """Return what a home knew of the work, nothing when requests are placed by their number."""
+    if not reply.expected_work_ms:
+        return {}
+    return {"expected_work_ms": reply.expected_work_ms, "work_left_ms": reply.work_left_ms}
+
+
 class RequestLog:
     """Logs and counts responses, refusals and tries."""
 
@@ -93,6 +102,16 @@
         self._placement_latency = metrics.latency(
             "tanagerreach_placement_seconds", "Time until a decision", ("service",)
         )
+        self._expected_work = metrics.latency(
+            "tanagerreach_expected_work_seconds",
+            "Time that a target is expected to take for a request, when it was placed",
+            ("service",),
+        )
+        self._work_left = metrics.latency(
+            "tanagerreach_work_left_seconds",
+            "Work left at the chosen target, when a request was placed",
+            ("service",),
+        )
         metrics.gauge(
             "tanagerreach_log_lines_dropped",
             "Log lines of requests that were not written",
@@ -104,6 +123,10 @@
         decided_by = "alone" if placement.decided_alone else "home"
         self._placements.add(1, service, decided_by)
         self._placement_latency.record(placement.waited_s, service)
+        reply = placement.reply
+        if reply.expected_work_ms:
+            self._expected_work.record(reply.expected_work_ms / MS_PER_S, service)
+            self._work_left.record(reply.work_left_ms / MS_PER_S, service)
 
     def try_ended(
         self,
--- a/packages/daemon/src/tanagerreachd/gateway/_settings.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_settings.py
@@ -15,6 +15,8 @@
     :param peer_seed_hosts: hosts of some instances, which may be down.
     :param floor_share: minimum share of a service's targets to keep in use while requests fail.
     :param stop_limit_s: time from SIGTERM until the process is killed.
+    :param places_by_cost: whether requests are placed by their expected cost, for the services
+        whose configuration calls for it; the same on all machines.
     """
 
     instance_name: str
@@ -32,3 +34,4 @@
     floor_share: float
     stop_limit_s: float
     log_level: str = "info"
+    places_by_cost: bool = True
