Test and replay the placement by expected work

Load patterns: two classes 1:15, a rare long class, bimodal cost, slow targets, wrong estimates, targets that fail by turns, a new home. A target's load is not less than its requests in flight: with work left alone, requests gathered at the targets with the latest successes.

--- a/packages/core/src/tanagerreach_core/_expected_work.py
+++ b/packages/core/src/tanagerreach_core/_expected_work.py
@@ -146,6 +146,14 @@
 
     :param left_s: time left until the request's objective.
     """
+    step = bisect_left(CLASS_LIMITS_S, left_s)
+    costs = distribution.late_costs.get(step)
+    if costs is None:
+        costs = distribution.late_costs[step] = _late_costs(distribution, left_s)
+    return costs
+
+
+def _late_costs(distribution: WorkDistribution, left_s: float) -> tuple[float, ...]:
     usual = distribution.late_share(left_s)
     if distribution.late_share(left_s / SLOWNESS_STEPS[-1]) - usual < LATE_COST_MIN:
         return NO_LATE_COSTS
--- a/packages/core/src/tanagerreach_core/_target_ranking.py
+++ b/packages/core/src/tanagerreach_core/_target_ranking.py
@@ -150,17 +150,18 @@
                 break
             if failure_probability > highest_failure_probability:
                 continue
-            if state.spec.name in excluded or not state.is_reachable(requester, now_s):
-                continue
-            if is_decided_alone and (state.is_cold(now_s) or state.limit is not None):
-                continue
             cost = lower_bound + late_costs[state.slowness_step]
             if state.spec.data_centre != data_centre:
                 cost += DISTANCE_WEIGHT
             if state.is_untried and not state.may_try_first(request, now_s):
                 cost += UNTRIED_PREFERENCE
-            if cost < best_cost:
-                best, best_cost = state, cost
+            if cost >= best_cost:
+                continue
+            if state.spec.name in excluded or not state.is_reachable(requester, now_s):
+                continue
+            if is_decided_alone and (state.is_cold(now_s) or state.limit is not None):
+                continue
+            best, best_cost = state, cost
         return best
 
     def _assess(
--- a/packages/core/src/tanagerreach_core/_target_state.py
+++ b/packages/core/src/tanagerreach_core/_target_state.py
@@ -309,13 +309,15 @@
         """
         spec = self.spec
         work = self.work
+        load = len(self.in_flight) / max(1, spec.slot_count)
         if work is None:
-            load = len(self.in_flight) / max(1, spec.slot_count)
             slowness = self.failure_estimator.mean_latency_s / usual_s if usual_s else 0.0
         else:
             work.evaluate(self.in_flight.values(), usual_s, now_s)
             self.slowness_step = work.slowness_step
-            load = min(WORK_LOAD_MAX, work.left_s / (max(1, spec.slot_count) * usual_s))
+            # Requests that are nearly done still hold their slots, and fail with their target.
+            left = work.left_s / (max(1, spec.slot_count) * usual_s)
+            load = max(load, min(WORK_LOAD_MAX, left))
             slowness = work.slowness
         cost = LOAD_WEIGHT * load * load + LATENCY_WEIGHT * min(SLOWNESS_MAX, slowness)
         if self.is_cold(now_s):
--- a/packages/core/src/tanagerreach_core/_work_distribution.py
+++ b/packages/core/src/tanagerreach_core/_work_distribution.py
@@ -14,8 +14,9 @@
 
 # Weight of the wider distribution, in samples.
 PRIOR_SAMPLES = 8.0
-# Time after which a sample has half of its weight.
+# Time after which a sample has half of its weight, and weight of all samples together.
 HALF_LIFE_S = 20.0
+SAMPLES_MAX = 100.0
 # Samples change the figures that decisions use at this interval.
 UPDATE_INTERVAL_S = 0.5
 # A request that has run longer than all known ones is expected to take this share of its age more.
@@ -42,6 +43,7 @@
         "_step_means_s",
         "_sums_s",
         "_updated_s",
+        "late_costs",
         "late_shares",
         "mean_s",
         "rests_s",
@@ -61,6 +63,8 @@
         """Share of the requests in higher steps, by step."""
         self.rests_s = array("d", bytes(8 * _STEP_COUNT))
         """How much longer a request is expected to run, by the step of its age."""
+        self.late_costs: dict[int, tuple[float, ...]] = {}
+        """Costs of late responses by the step of the time left, kept until the next update."""
         self._late_share_min = LATE_SHARE_MIN
         self.mean_s = mean_s
         self._updated_s = now_s
@@ -76,6 +80,7 @@
         if now_s - self._updated_s < UPDATE_INTERVAL_S:
             return
         kept = 0.5 ** ((now_s - self._updated_s) / HALF_LIFE_S)
+        kept = min(kept, SAMPLES_MAX / sum(self._counts))
         for index in range(_STEP_COUNT):
             self._counts[index] *= kept
             self._sums_s[index] *= kept
@@ -111,6 +116,7 @@
             mean_s = above_s / above if above > 0 else age_s
             self.rests_s[index] = max(mean_s - age_s, UNKNOWN_REST_SHARE * age_s)
         self.mean_s = above_s
+        self.late_costs.clear()
 
     def _prior_steps(self) -> tuple[Sequence[float], Sequence[float]]:
         """Return shares and mean latencies of the steps in the wider distribution."""
--- a/packages/core/tests/cost_replay.py
+++ b/packages/core/tests/cost_replay.py
@@ -14,6 +14,7 @@
 from tanagerreach_core.messages import FailureDigest, PlacementRequest, PlacementState
 from tanagerreach_core.placement import PlacementTarget, ServicePlacement
 from tanagerreach_core.traffic import Outcome
+from test_placement import FailingTargets, HealthyTargets
 
 MS_PER_S = 1000.0
 # As the home server: all queued requests at intervals, the first ones at a completion.
@@ -22,6 +23,8 @@
 WORK_SPREAD = 0.5
 # A target whose slots are all busy takes this share longer than an idle one.
 FULL_SLOWDOWN = 0.4
+# A failing target resets connections after this time.
+FAILS_AFTER_S = 0.005
 
 
 class WorkClass:
@@ -51,6 +54,7 @@
     :param usage: share of the slots that the requests need.
     :param slow_targets: number of targets that take ``slowness`` times as long.
     :param change_s: time at which all work changes by ``change``.
+    :param fails_by_turns: whether targets fail most requests for some seconds, each at its times.
     :param known_mean_s: mean that a former home's digest says, 0 without a digest.
     :param measured_s: span of the arrivals whose figures count.
     """
@@ -64,6 +68,7 @@
         slowness=3.0,
         change_s=math.inf,
         change=1.0,
+        fails_by_turns=False,
         known_mean_s=0.0,
         measured_s=(0.0, math.inf),
     ):
@@ -73,6 +78,7 @@
         self.slowness = slowness
         self.change_s = change_s
         self.change = change
+        self.fails_by_turns = fails_by_turns
         self.known_mean_s = known_mean_s
         self.measured_s = measured_s
 
@@ -114,6 +120,12 @@
     "estimates 4 times too high": _short_and_long(
         change_s=15.0, change=0.25, measured_s=(15.0, math.inf)
     ),
+    "two classes 1:15, targets fail by turns": _short_and_long(usage=0.4, fails_by_turns=True),
+    "two classes 1:4, targets fail by turns": Load(
+        classes=[WorkClass(1, 0.4, [0.29], 1.5), WorkClass(2, 0.6, [1.4], 5.0)],
+        usage=0.4,
+        fails_by_turns=True,
+    ),
     "a home has just moved": _short_and_long(known_mean_s=0.216, measured_s=(0.0, 4.0)),
 }
 
@@ -142,13 +154,16 @@
             )
         slots = self.TARGET_COUNT * self.SLOT_COUNT
         self.rate_per_s = load.usage * slots / load.mean_work_s
+        self.failing = HealthyTargets()
+        if load.fails_by_turns:
+            self.failing = FailingTargets(self.TARGET_COUNT, Random(seed + 1), self.LENGTH_S)
+        self.failed = dict.fromkeys((entry.number for entry in load.classes), 0)
         self.running = dict.fromkeys((f"t{number}" for number in range(self.TARGET_COUNT)), 0)
         self.ends = []
         self.requests = {}
         self.latencies_s = {entry.number: [] for entry in load.classes}
         self.late = dict.fromkeys(self.latencies_s, 0)
         self.decision_s = 0.0
-        self.decisions = []
 
     def _target(self, number):
         return PlacementTarget(
@@ -177,11 +192,17 @@
                 break
         return self
 
-    def p99_s(self, number):
+    @staticmethod
+    def pooled_p99_s(replays, number):
         """Return the 99th percentile of the latencies of a class's requests that are served."""
-        ordered = sorted(filter(math.isfinite, self.latencies_s[number]))
+        latencies_s = (latency_s for replay in replays for latency_s in replay.latencies_s[number])
+        ordered = sorted(filter(math.isfinite, latencies_s))
         return ordered[int(0.99 * (len(ordered) - 1))]
 
+    def failed_share(self, number):
+        """Return the share of a class's requests that failed at targets."""
+        return self.failed[number] / (self.failed[number] + len(self.latencies_s[number]))
+
     def late_share(self, number):
         """Return the share of a class's requests that are late or refused."""
         return self.late[number] / len(self.latencies_s[number])
@@ -226,23 +247,30 @@
     def _take(self, key, reply, now_s):
         if reply.state is PlacementState.QUEUED:
             return
-        self.decisions.append((key[1], reply.state.name, reply.target, reply.retry_after_ms))
         if reply.state is PlacementState.REFUSED:
             self._count(key, math.inf)
             return
         _, work_s, _ = self.requests[key]
         self.running[reply.target] += 1
+        if self.failing.fails(reply.target, now_s, self.random):
+            heapq.heappush(self.ends, (now_s + FAILS_AFTER_S, key, reply.target, now_s, False))
+            return
         took_s = work_s * (1 + FULL_SLOWDOWN * (self.running[reply.target] / self.SLOT_COUNT) ** 2)
         if int(reply.target[1:]) < self.load.slow_targets:
             took_s *= self.load.slowness
-        heapq.heappush(self.ends, (now_s + took_s, key, reply.target, now_s))
+        heapq.heappush(self.ends, (now_s + took_s, key, reply.target, now_s, True))
 
     def _complete(self, end, now_s):
-        _, key, target, started_s = end
+        _, key, target, started_s, is_served = end
         self.running[target] -= 1
-        self._count(key, now_s - self.requests[key][2])
+        outcome = Outcome.SUCCESS
+        if is_served:
+            self._count(key, now_s - self.requests[key][2])
+        else:
+            outcome = Outcome.BROKEN_BEFORE_HEAD
+            self.failed[self.requests[key][0].number] += 1
         before_s = time.process_time()
-        self.home.complete(key, Outcome.SUCCESS, now_s - started_s, b"", now_s)
+        self.home.complete(key, outcome, now_s - started_s, b"", now_s)
         self.decision_s += time.process_time() - before_s
         self._dispatch(now_s, DISPATCHED_AT_COMPLETION)
 
@@ -255,18 +283,20 @@
 
 
 def print_table(seeds):
-    """Print p99 and late share of each class, before and after, as means of the seeds."""
+    """Print p99 and late share of each class over all seeds, before and after."""
     for name, load in LOADS.items():
         before = [CostReplay(load, seed, places_by_cost=False).run() for seed in seeds]
         after = [CostReplay(load, seed, places_by_cost=True).run() for seed in seeds]
         times = [sum(replay.decision_s for replay in played) for played in (before, after)]
-        print(f"{name}: processor time {times[1] / times[0]:.2f} times")
+        print(f"{name}: {times[1] / times[0]:.2f} times the processor time")
         for entry in load.classes:
             cells = []
             for played in (before, after):
-                p99_s = sum(replay.p99_s(entry.number) for replay in played) / len(seeds)
+                p99_s = CostReplay.pooled_p99_s(played, entry.number)
                 late = sum(replay.late_share(entry.number) for replay in played) / len(seeds)
-                cells.append(f"p99 {p99_s:.3f} s, late {100 * late:.2f} %")
+                failed = sum(replay.failed_share(entry.number) for replay in played) / len(seeds)
+                text = f"p99 {p99_s:.3f} s, late {100 * late:.2f} %"
+                cells.append(text + (f", failed {100 * failed:.2f} %" if failed else ""))
             print(f"  class {entry.number}: {cells[0]} -> {cells[1]}")
 
 
