--- a/packages/core/src/tanagerreach_core/_expected_work.py
+++ b/packages/core/src/tanagerreach_core/_expected_work.py
@@ -6,7 +6,7 @@
 """
 
 from bisect import bisect_left, bisect_right
-from collections.abc import Iterable
+from collections.abc import Collection
 from typing import Protocol
 
 from ._service_latency import CLASS_LIMITS_S, ServiceLatency
@@ -114,7 +114,7 @@
         self._seen_s += min(latency_s, SLOWNESS_SAMPLE_MAX * expected_s)
         self._update(mean_s, now_s)
 
-    def evaluate(self, in_flight: Iterable[RunningRequest], mean_s: float, now_s: float) -> None:
+    def evaluate(self, in_flight: Collection[RunningRequest], mean_s: float, now_s: float) -> None:
         """Compute the work left.
 
         :param in_flight: requests that run at the target.
@@ -122,6 +122,9 @@
         """
         if now_s - self._updated_s >= SLOWNESS_INTERVAL_S:
             self._update(mean_s, now_s)
+        self.left_s = 0.0
+        if not in_flight:
+            return
         slowness = self.slowness
         left_s = 0.0
         for running in in_flight:
--- a/packages/core/src/tanagerreach_core/_placement.py
+++ b/packages/core/src/tanagerreach_core/_placement.py
@@ -572,12 +572,10 @@
             if idle is not None:
                 return idle
         highest = self._failure_probability_limit(request, now_s)
-        work = self._work_of(request.placement_request, now_s)
-        if work is None:
+        if not self._ranking.has_slow:
             return self._ranking.best(request, highest, now_s)
-        costs = NO_LATE_COSTS
-        if self._ranking.has_slow:
-            costs = late_costs(work, request.objective_s - now_s)
+        work = self._work_of(request.placement_request, now_s)
+        costs = NO_LATE_COSTS if work is None else late_costs(work, request.objective_s - now_s)
         return self._ranking.best(request, highest, now_s, costs)
 
     def _plan_idle_targets(self, now_s: float) -> IdleTargetPlan:
--- a/packages/core/src/tanagerreach_core/_target_state.py
+++ b/packages/core/src/tanagerreach_core/_target_state.py
@@ -225,6 +225,8 @@
 
     def is_reachable(self, requester: str, now_s: float) -> bool:
         """Return whether an instance may get placements here."""
+        if not self._unreachable_until_s and not self._paused_until_s:
+            return True
         until_s = max(
             self._unreachable_until_s.get(requester, 0.0), self._paused_until_s.get(requester, 0.0)
         )
@@ -314,11 +316,11 @@
             slowness = self.failure_estimator.mean_latency_s / usual_s if usual_s else 0.0
         else:
             work.evaluate(self.in_flight.values(), usual_s, now_s)
-            self.slowness_step = work.slowness_step
+            slowness, self.slowness_step = work.slowness, work.slowness_step
             # Requests that are nearly done still hold their slots, and fail with their target.
             left = work.left_s / (max(1, spec.slot_count) * usual_s)
-            load = max(load, min(WORK_LOAD_MAX, left))
-            slowness = work.slowness
+            if left > load:
+                load = min(WORK_LOAD_MAX, left)
         cost = LOAD_WEIGHT * load * load + LATENCY_WEIGHT * min(SLOWNESS_MAX, slowness)
         if self.is_cold(now_s):
             cost += LOAD_WEIGHT
--- a/packages/daemon/tests/test_gateway_homes.py
+++ b/packages/daemon/tests/test_gateway_homes.py
@@ -74,6 +74,7 @@
 
     def setUp(self):
         self.is_current = True
+        self.places_by_cost = False
         self.list_age_ms = 0
         self.log = RecordingLog()
         self.directory = TargetDirectory(decode=decoded, on_skipped=lambda item: None)
@@ -90,6 +91,7 @@
             heartbeat_s=1.5,
             crashes=CrashStreaks(),
             log=self.log,
+            places_by_cost=lambda service: self.places_by_cost,
         )
 
     @staticmethod
@@ -161,6 +163,15 @@
         self.list_age_ms = 0
         self.assertEqual(self.place(placement_request).list_age_ms, 40)
 
+    def test_configuration_does_not_switch_placement_by_cost(self):
+        """Guards against homes that go on as before when a configuration calls for the feature."""
+        reply = self.place(made_placement_request(1, work_class=7))
+        self.assertEqual(reply.expected_work_ms, 0)
+        self.places_by_cost = True
+        self.homes.apply_configuration(self.resolver.configuration)
+        reply = self.place(made_placement_request(2, work_class=7))
+        self.assertGreater(reply.expected_work_ms, 0)
+
     def test_quota_is_counted(self):
         """Guards against requests granted beyond the rate, and refused below it."""
         granted = [self.homes.take_quota(QuotaRequest(call_id=n, workspace="w")) for n in range(5)]
