Order the queue by the route's priority within a workspace's

Callers of urgent lookups were refused while uploads with seconds to spare were served: all workspaces of a deployment have a priority, which replaces that of the route, so that a home saw lookups of 0.58 s and uploads of 3.2 s as equals. One mean latency for both also refused lookups that still fit.

A workspace's priority still goes first; within it, the priority of the route decides. Expected waits use the mean latency of each class, and the slots that more urgent requests leave. Nothing changes where all routes to a service have one priority.

--- a/packages/core/src/tanagerreach_core/_placement.py
+++ b/packages/core/src/tanagerreach_core/_placement.py
@@ -13,6 +13,7 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
+from ._class_load import ClassLoad
 from ._crash_streaks import CrashStreaks
 from ._failure_estimator import FailureEstimator
 from ._outcomes import FAILURES, NOT_STARTED, Outcome
@@ -47,6 +48,8 @@
 WAIT_SHARE_MAX = 0.6
 # The same while only targets that are likely to fail have free slots: they may be healthy.
 LIKELY_FAILING_WAIT_SHARE_MAX = 1.5
+# A queued request is refused when less than this share of the usual latency is left.
+MIN_CLASS_TIME_SHARE = 1 / 4
 # A placement without a completion is released this long after its request's deadline.
 LOST_COMPLETION_GRACE_S = 0.5
 LOST_COMPLETION_CHECK_INTERVAL_S = 0.25
@@ -99,6 +102,7 @@
     """
 
     __slots__ = (
+        "_class_load",
         "_crashes",
         "_finished_replies",
         "_floor_share",
@@ -133,6 +137,7 @@
         self._lent_share = 1.0
         self._lost_checked_at_s = float("-inf")
         self._latency = ServiceLatency()
+        self._class_load = ClassLoad()
 
     def __len__(self) -> int:
         return len(self._queue)
@@ -274,6 +279,9 @@
             state.observe(key[0], outcome, latency_s, self.service_time_s, now_s)
         self._ranking.update(state, self._latency, now_s)
         if outcome is Outcome.SUCCESS:
+            self._class_load.record_served(
+                placed.request.rank, latency_s, self.service_time_s, now_s
+            )
             self._latency.record(latency_s)
             return None
         return PlacementEvent(
@@ -386,6 +394,10 @@
 
     # Queueing and refusing
 
+    def _class_time_s(self, placement_request: PlacementRequest) -> float:
+        """Return the mean latency of successful requests like this one."""
+        return self._class_load.mean_s(placement_request.urgency, self.service_time_s)
+
     def _add(self, request: WaitingRequest) -> None:
         self._queue.add(request)
         self._queued_keys.add(request.key)
@@ -410,11 +422,12 @@
             self._is_eligible(state, placement_request, now_s) for state in self._targets.values()
         ):
             return self._refuse(placement_request, RefusalCause.NO_TARGET, RETRY_AFTER_MIN_S)
-        wait_s = self._expected_wait_s(placement_request, now_s)
-        if now_s + wait_s + self.service_time_s > request.deadline_s:
+        wait_s = self._expected_wait_s(request, now_s)
+        class_time_s = self._class_time_s(placement_request)
+        if now_s + wait_s + class_time_s > request.deadline_s:
             cause = RefusalCause.NO_ROOM if wait_s else RefusalCause.DEADLINE
             return self._refuse(placement_request, cause, wait_s)
-        spare_s = max(0.0, request.objective_s - now_s - self.service_time_s)
+        spare_s = max(0.0, request.objective_s - now_s - class_time_s)
         is_long = wait_s > WAIT_SHARE_MAX * spare_s
         # Whether a target has room is counted only for a request that would wait long without it.
         if is_long and (
@@ -447,17 +460,26 @@
         )
         return self._free_slot_count() - unusable
 
-    def _expected_wait_s(self, placement_request: PlacementRequest, now_s: float) -> float:
-        ahead = self._queue.count_ahead_of(placement_request.priority, placement_request.workspace)
+    def _expected_wait_s(self, request: WaitingRequest, now_s: float) -> float:
+        ahead = self._queue.ahead_of(request)
         if not ahead:
             return 0.0
         self._ranking.evaluate(self._latency, now_s)
-        return ahead * self.service_time_s / max(1.0, self._ranking.capacity)
+        capacity = self._ranking.capacity
+        share = self._class_load.share_left(request.rank, capacity, now_s)
+        return self._work_s(ahead) / max(1.0, share * capacity)
+
+    def _work_s(self, requests: list[WaitingRequest]) -> float:
+        """Return the time for which requests are expected to use slots."""
+        if not self._class_load.is_mixed:
+            return len(requests) * self.service_time_s
+        return sum(self._class_time_s(request.placement_request) for request in requests)
 
     def _try_place(self, request: WaitingRequest, now_s: float) -> PlacementReply | None:
         placement_request = request.placement_request
-        if now_s + self._min_service_time_s() > request.deadline_s:
-            return self._refuse(placement_request, RefusalCause.NO_ROOM, self.service_time_s)
+        class_time_s = self._class_time_s(placement_request)
+        if now_s + MIN_CLASS_TIME_SHARE * class_time_s > request.deadline_s:
+            return self._refuse(placement_request, RefusalCause.NO_ROOM, class_time_s)
         state = self._choose(request, now_s)
         if state is None:
             return None
@@ -482,9 +504,6 @@
             is_listed=state.spec.is_listed,
         )
 
-    def _min_service_time_s(self) -> float:
-        return self.service_time_s / 4
-
     def _finish(self, request: WaitingRequest, reply: PlacementReply) -> PlacementReply:
         self._finished_replies[request.key] = reply
         if len(self._finished_replies) > FINISHED_REPLIES_MAX:
@@ -562,7 +581,8 @@
         """
         if request.placement_request.is_in_flight:
             return HEALTHY_FAILURE_PROBABILITY_MAX
-        latest_s = min(request.objective_s, request.deadline_s) - 2 * self.service_time_s
+        class_time_s = self._class_time_s(request.placement_request)
+        latest_s = min(request.objective_s, request.deadline_s) - 2 * class_time_s
         spare_s = latest_s - request.arrived_s
         # Waiting helps only if a target that is likely healthy is merely busy.
         if spare_s <= 0 or not self._ranking.has_healthy(request.placement_request.excluded):
--- a/packages/core/src/tanagerreach_core/_placement_messages.py
+++ b/packages/core/src/tanagerreach_core/_placement_messages.py
@@ -70,7 +70,8 @@
     before; ``is_retry`` states whether it was sent to one. ``accepts_stale`` allows a placement
     also when the home's list of targets may be out of date. ``is_decided_alone`` is set by an
     instance that places the request itself because no home replied. ``is_in_flight`` states that a
-    target is still working on the request, so that a refusal does not leave it unserved.
+    target is still working on the request, so that a refusal does not leave it unserved. Of the
+    requests of one ``priority``, those of the lower ``urgency`` go first.
     """
 
     call_id: int
@@ -87,6 +88,7 @@
     accepts_stale: bool = False
     is_decided_alone: bool = False
     is_in_flight: bool = False
+    urgency: int = 0
 
 
 class PlacementReply(msgspec.Struct, kw_only=True, array_like=True, tag=21):
--- a/packages/core/src/tanagerreach_core/_start_time_fair_queue.py
+++ b/packages/core/src/tanagerreach_core/_start_time_fair_queue.py
@@ -1,8 +1,10 @@
 """Queue of the requests that wait for a target of one service.
 
-Load pattern: more requests arrive than the targets can run, most of them from one workspace. The
-more urgent priority is served first. Within a priority, start-time fair queueing shares the targets
-among the workspaces, so that only a workspace that sends more than its share waits longer.
+Load pattern: more requests arrive than the targets can run, most of them from one workspace, and
+requests whose callers wait for half a second share the targets with uploads that may take seconds.
+The more urgent priority is served first, and within it the more urgent route. Within these,
+start-time fair queueing shares the targets among the workspaces, so that only a workspace that
+sends more than its share waits longer.
 """
 
 import bisect
@@ -19,7 +21,7 @@
     :param key: instance that sent the request, and its call id.
     :param deadline_s: time by which the caller needs the response.
     :param objective_s: time by which a response meets the latency objective.
-    :param order_key: priority, virtual start time and number of arrival.
+    :param order_key: priority, urgency, virtual start time and number of arrival.
     """
 
     key: tuple[str, int]
@@ -27,7 +29,12 @@
     arrived_s: float
     deadline_s: float
     objective_s: float
-    order_key: tuple[int, float, int] = field(default=(0, 0.0, 0))
+    order_key: tuple[int, int, float, int] = field(default=(0, 0, 0.0, 0))
+
+    @property
+    def rank(self) -> tuple[int, int]:
+        """Priority and urgency; the lower one is placed first."""
+        return (self.placement_request.priority, self.placement_request.urgency)
 
 
 class StartTimeFairQueue:
@@ -37,7 +44,7 @@
 
     def __init__(self) -> None:
         self._queue: list[WaitingRequest] = []
-        self._finish_tags: dict[tuple[int, str], float] = {}
+        self._finish_tags: dict[tuple[int, int, str], float] = {}
         self._virtual_time = 0.0
         self._arrival_count = 0
 
@@ -48,27 +55,31 @@
         return iter(list(self._queue))
 
     def add(self, request: WaitingRequest) -> None:
-        """Insert a request by its priority and its virtual start time."""
-        flow = (request.placement_request.priority, request.placement_request.workspace)
-        start = max(self._virtual_time, self._finish_tags.get(flow, 0.0))
-        self._finish_tags[flow] = start + 1.0
+        """Insert a request by its priority, its urgency and its virtual start time."""
         self._arrival_count += 1
-        request.order_key = (request.placement_request.priority, start, self._arrival_count)
+        request.order_key = self._order_key(request)
+        self._finish_tags[_flow(request)] = request.order_key[2] + 1.0
         bisect.insort(self._queue, request, key=lambda entry: entry.order_key)
 
     def remove(self, request: WaitingRequest, *, is_served: bool) -> None:
         """Remove a request, and advance the virtual time if it was placed."""
         self._queue.remove(request)
         if is_served:
-            self._virtual_time = max(self._virtual_time, request.order_key[1])
+            self._virtual_time = max(self._virtual_time, request.order_key[2])
         if not self._queue:
             self._finish_tags.clear()
 
-    def count_ahead_of(self, priority: int, workspace: str) -> int:
-        """Return how many queued requests would be placed before a new one."""
-        start = max(self._virtual_time, self._finish_tags.get((priority, workspace), 0.0))
-        return bisect.bisect_right(
-            self._queue,
-            (priority, start, self._arrival_count + 1),
-            key=lambda entry: entry.order_key,
+    def ahead_of(self, request: WaitingRequest) -> list[WaitingRequest]:
+        """Return the queued requests that would be placed before a new one."""
+        number = bisect.bisect_right(
+            self._queue, self._order_key(request), key=lambda entry: entry.order_key
         )
+        return self._queue[:number]
+
+    def _order_key(self, request: WaitingRequest) -> tuple[int, int, float, int]:
+        start = max(self._virtual_time, self._finish_tags.get(_flow(request), 0.0))
+        return (*request.rank, start, self._arrival_count)
+
+
+def _flow(request: WaitingRequest) -> tuple[int, int, str]:
+    return (*request.rank, request.placement_request.workspace)
--- a/packages/daemon/src/tanagerreachd/gateway/_request.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_request.py
@@ -142,6 +142,7 @@
             excluded=self._excluded(),
             accepts_stale=accepts_stale,
             is_in_flight=bool(self.late_target),
+            urgency=self.match.route.priority,
         )
 
     def _excluded(self) -> list[str]:
