Return the quota of requests that did not run

A workspace near its rate lost a unit for each request that was refused for room, shed by its target or not connected, and got fewer requests through than its limit allows, just while its callers came back. A quota request that arrived twice also took two units.

The instance returns the unit when no try can have started; the home takes back only what it has granted, once, so that lost and repeated messages and restarts change nothing beyond that unit.

--- a/packages/core/src/tanagerreach_core/_messages.py
+++ b/packages/core/src/tanagerreach_core/_messages.py
@@ -19,6 +19,7 @@
     PlacementRequest,
     QuotaReply,
     QuotaRequest,
+    QuotaReturn,
     RefusalNotice,
 )
 from ._slots import SlotSet
@@ -272,6 +273,7 @@
     | PlacementCompletion
     | QuotaRequest
     | QuotaReply
+    | QuotaReturn
     | CompletionAck
     | Heartbeat
     | PeerNews
--- a/packages/core/src/tanagerreach_core/_placement_messages.py
+++ b/packages/core/src/tanagerreach_core/_placement_messages.py
@@ -162,6 +162,18 @@
     fleet_percent: int = 100
 
 
+class QuotaReturn(msgspec.Struct, kw_only=True, array_like=True, tag=31):
+    """Returns the unit of a :class:`QuotaRequest` whose request did not run.
+
+    It is not acknowledged: when it is lost, the unit is lost.
+
+    :param call_id: call id of the quota request.
+    """
+
+    call_id: int
+    workspace: str
+
+
 class CompletionAck(msgspec.Struct, kw_only=True, array_like=True, tag=25):
     """Acknowledges a :class:`PlacementCompletion`."""
 
--- a/packages/core/src/tanagerreach_core/_workspace_quota.py
+++ b/packages/core/src/tanagerreach_core/_workspace_quota.py
@@ -78,6 +78,12 @@
             return 0.0
         return (1 - bucket.level) / rate_per_s if rate_per_s > 0 else 1.0
 
+    def give_back(self, workspace: str) -> None:
+        """Take back one unit that was granted to a request that did not run."""
+        bucket = self._buckets.get(workspace)
+        if bucket is not None:
+            bucket.level = min(bucket.limit.burst, bucket.level + 1)
+
     def drop_all_except(self, workspaces: set[str]) -> None:
         """Drop the buckets of workspaces that no longer exist."""
         for name in set(self._buckets) - workspaces:
--- a/packages/core/src/tanagerreach_core/messages.py
+++ b/packages/core/src/tanagerreach_core/messages.py
@@ -38,6 +38,7 @@
     PlacementState,
     QuotaReply,
     QuotaRequest,
+    QuotaReturn,
     RefusalCause,
     RefusalNotice,
 )
@@ -70,6 +71,7 @@
     "PlacementState",
     "QuotaReply",
     "QuotaRequest",
+    "QuotaReturn",
     "RefusalCause",
     "RefusalNotice",
     "ServiceReply",
--- a/packages/core/src/tanagerreach_core/placement.py
+++ b/packages/core/src/tanagerreach_core/placement.py
@@ -8,6 +8,7 @@
 from ._peer_table import Peer, PeerChange, PeerTable
 from ._placement import PlacementEvent, ServicePlacement, awaits_retry, may_retry
 from ._placement_messages import NO_NOTICE, TargetNotice
+from ._quota_grants import QuotaGrants
 from ._start_time_fair_queue import StartTimeFairQueue, WaitingRequest
 from ._target_notices import TargetNotices
 from ._target_state import PlacementTarget
@@ -33,6 +34,7 @@
     "TargetNotice",
     "TargetNotices",
     "WaitingRequest",
+    "QuotaGrants",
     "WorkspaceQuota",
     "awaits_retry",
     "late_try_obstacle",
--- a/packages/daemon/src/tanagerreachd/gateway/_application.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_application.py
@@ -238,9 +238,17 @@
             self._retry_budgets.of(request.service_name).record_first_try(_clock.now_s())
             self._take_quota(request)
             return self._try_targets(request)
+        except BaseException:
+            self._return_quota(request)
+            raise
         finally:
             request.end_watch()
 
+    def _return_quota(self, request: GatewayRequest) -> None:
+        """Return the unit of quota of a request that is given up and has certainly not run."""
+        if request.quota_unit is not None and not request.may_have_run:
+            self._placement_client.return_quota(request.quota_unit)
+
     def _begin_watch(self, request: GatewayRequest) -> None:
         """Cancel the request when its caller disconnects, until the watch is ended.
 
@@ -255,8 +263,11 @@
     def _take_quota(self, request: GatewayRequest) -> None:
         if request.workspace is None:
             return
-        reply = self._placement_client.take_quota(request.workspace_name)
-        if not reply.is_granted:
+        unit = self._placement_client.take_quota(request.workspace_name)
+        reply = unit.reply
+        if reply.is_granted:
+            request.quota_unit = unit
+        else:
             name = request.service_name
             self._placement_client.report_refusal(name)
             raise RefusalError(
--- a/packages/daemon/src/tanagerreachd/gateway/_home_server.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_home_server.py
@@ -14,11 +14,13 @@
     PlacementState,
     QuotaReply,
     QuotaRequest,
+    QuotaReturn,
 )
 from tanagerreach_core.placement import (
     CrashStreaks,
     PeerTable,
     PlacementTarget,
+    QuotaGrants,
     ServicePlacement,
     TargetNotice,
     WorkspaceQuota,
@@ -99,6 +101,7 @@
         self._services: dict[str, ServicePlacement] = {}
         self._waiting: dict[str, dict[tuple[str, int], ReplyCallback]] = {}
         self._quota = WorkspaceQuota()
+        self._quota_grants = QuotaGrants()
         self._list_age_ms = list_age_ms
         self._last_request_s: dict[str, float] = {}
         self._work: dict[str, _Work] = {}
@@ -175,10 +178,15 @@
             service.record_refusal(_clock.now_s())
 
     def take_quota(
-        self, quota_request: QuotaRequest, *, own_share: float | None = None
+        self,
+        quota_request: QuotaRequest,
+        *,
+        requester: str = "",
+        own_share: float | None = None,
     ) -> QuotaReply:
         """Reply to a request for one unit of a workspace's quota.
 
+        :param requester: instance that requests it, empty for this one.
         :param own_share: share of the rate that may be issued here when this instance decides
             alone; by default the share of the fleet that uses it as the workspace's home.
         """
@@ -187,6 +195,9 @@
         limit = None if resolver is None else resolver.limit_of(workspace)
         if limit is None:
             return QuotaReply(call_id=quota_request.call_id, is_granted=True)
+        key = (requester, quota_request.call_id)
+        if key in self._quota_grants:
+            return QuotaReply(call_id=quota_request.call_id, is_granted=True)
         now_s = _clock.now_s()
         rendezvous_key = workspace_rendezvous_key(workspace)
         fleet_share = lent_share = own_share
@@ -201,6 +212,8 @@
             lent_share=lent_share,
             is_disputed=self._peer_table.has_competing_home(rendezvous_key, now_s),
         )
+        if wait_s == 0:
+            self._quota_grants.record(key, now_s)
         return QuotaReply(
             call_id=quota_request.call_id,
             is_granted=wait_s == 0,
@@ -209,6 +222,11 @@
             fleet_percent=round(100 * lent_share),
         )
 
+    def take_back_quota(self, message: QuotaReturn, *, requester: str = "") -> None:
+        """Take back a unit of a workspace's quota whose request did not run."""
+        if self._quota_grants.take_back((requester, message.call_id), _clock.now_s()):
+            self._quota.give_back(message.workspace)
+
     def digests(self, now_s: float) -> list[FailureDigest]:
         """Return failure digests of the services for which this instance acts as the home."""
         return [
--- a/packages/daemon/src/tanagerreachd/gateway/_instance.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_instance.py
@@ -22,6 +22,7 @@
     PlacementRequest,
     QuotaReply,
     QuotaRequest,
+    QuotaReturn,
     RefusalNotice,
 )
 from tanagerreach_core.placement import TICK_S, CrashStreaks, PeerChange, PeerTable
@@ -398,6 +399,7 @@
             CompletionAck: lambda _name, _, message: calls.record_ack(message.call_id),
             QuotaRequest: self._on_quota_request,
             QuotaReply: lambda _name, _, message: calls.deliver(message),
+            QuotaReturn: lambda name, _, message: homes.take_back_quota(message, requester=name),
             RefusalNotice: lambda _name, _, message: homes.record_refusal(message.service),
             FailureDigest: lambda _name, _, message: homes.adopt_digest(message),
         }
@@ -414,7 +416,7 @@
 
     def _on_quota_request(self, name: str, address: str, message: QuotaRequest) -> None:
         self._peer_table.record_suspected(name, message.suspected_names)
-        self._link.send(address, self._homes.take_quota(message))
+        self._link.send(address, self._homes.take_quota(message, requester=name))
 
     def _on_peer_state(self, state: PeerState, change: PeerChange, age_s: float) -> None:
         if change.has_lost_store:
--- a/packages/daemon/src/tanagerreachd/gateway/_placement_client.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_placement_client.py
@@ -12,6 +12,7 @@
     PlacementState,
     QuotaReply,
     QuotaRequest,
+    QuotaReturn,
     RefusalNotice,
 )
 from tanagerreach_core.placement import CrashStreaks, Peer, PeerTable, TargetNotice
@@ -51,6 +52,18 @@
         return self.reply.state is PlacementState.GRANTED
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class QuotaUnit:
+    """Reply to a quota request.
+
+    :param home: the peer that replied, ``None`` for this instance.
+    """
+
+    reply: QuotaReply
+    workspace: str
+    home: Peer | None
+
+
 class PlacementClient:
     """Gets placements and quota from the homes, or from this instance when no home replies.
 
@@ -155,7 +168,7 @@
             ),
         )
 
-    def take_quota(self, workspace: str) -> QuotaReply:
+    def take_quota(self, workspace: str) -> QuotaUnit:
         """Take one unit of a workspace's quota."""
         for home in self._homes_of(workspace_rendezvous_key(workspace)):
             quota_request = QuotaRequest(
@@ -164,17 +177,27 @@
                 suspected_names=self._peer_table.suspected_names(_clock.now_s()),
             )
             if home is None:
-                return self._homes.take_quota(quota_request)
+                reply = self._homes.take_quota(quota_request)
+                return QuotaUnit(reply=reply, workspace=workspace, home=None)
             queue = self._calls.open(quota_request.call_id)
             try:
                 reply = self._calls.call(home.address, quota_request, queue)
             finally:
                 self._calls.close(quota_request.call_id)
             if reply is not None:
-                return reply
+                return QuotaUnit(reply=reply, workspace=workspace, home=home)
             self._record_lost_home(home, workspace)
         quota_request = QuotaRequest(call_id=self._calls.next_id(), workspace=workspace)
-        return self._homes.take_quota(quota_request, own_share=1 / self._peer_table.size())
+        reply = self._homes.take_quota(quota_request, own_share=1 / self._peer_table.size())
+        return QuotaUnit(reply=reply, workspace=workspace, home=None)
+
+    def return_quota(self, unit: QuotaUnit) -> None:
+        """Return a unit of quota whose request did not run."""
+        message = QuotaReturn(call_id=unit.reply.call_id, workspace=unit.workspace)
+        if unit.home is None:
+            self._homes.take_back_quota(message)
+        else:
+            self._calls.send(unit.home.address, message)
 
     def report_refusal(self, service: str) -> None:
         """Report to a service's home that a request was refused without a placement request."""
--- a/packages/daemon/src/tanagerreachd/gateway/_request.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_request.py
@@ -12,6 +12,7 @@
 from .._upstream import HOP_BY_HOP_HEADERS
 from ._dialect import Dialect
 from ._late_tries import Replacement
+from ._placement_client import QuotaUnit
 
 MS_PER_S = 1000.0
 # Wait of a caller that sends no deadline.
@@ -32,6 +33,7 @@
     :param excluded_targets: targets that a home assigned but that must not get the request.
     :param late_target: target whose try is late while a replacement is searched, empty without one.
     :param replacement: what replaces the last try.
+    :param quota_unit: unit of the workspace's quota that the request took, ``None`` without one.
     """
 
     environ: dict[str, Any]
@@ -50,6 +52,7 @@
     is_repeat: bool = False
     late_target: str = ""
     replacement: Replacement | None = None
+    quota_unit: QuotaUnit | None = None
     _end_watch: Callable[[], None] | None = None
 
     def begin_watch(self, end_watch: Callable[[], None]) -> None:
--- a/packages/daemon/tests/test_gateway_homes.py
+++ b/packages/daemon/tests/test_gateway_homes.py
@@ -10,6 +10,7 @@
     PlacementRequest,
     PlacementState,
     QuotaRequest,
+    QuotaReturn,
 )
 from tanagerreach_core.placement import CrashStreaks, PeerTable
 from tanagerreach_core.traffic import Outcome
@@ -168,6 +169,18 @@
         other = self.homes.take_quota(QuotaRequest(call_id=9, workspace="unlimited"))
         self.assertTrue(other.is_granted)
 
+    def test_repeated_messages_change_the_quota(self):
+        """Guards against a unit that one request takes twice, or that is taken back twice."""
+        taken = [self.take_quota(1) for _ in range(2)]
+        self.assertEqual(taken, [True, True])
+        for _ in range(2):
+            self.homes.take_back_quota(QuotaReturn(call_id=1, workspace="w"), requester="i1")
+        self.assertEqual([self.take_quota(call_id) for call_id in (2, 3)], [True, False])
+
+    def take_quota(self, call_id):
+        quota_request = QuotaRequest(call_id=call_id, workspace="w")
+        return self.homes.take_quota(quota_request, requester="i1").is_granted
+
 
 class TargetDirectoryTest(unittest.TestCase):
     """Removal of entries, with and without a store outage."""
