Keep the latency objective of callers that come back

While more arrived than the targets could run, each attempt of a refused caller was a new request with a whole objective ahead of it. Slots went to callers whose objective had passed, new ones waited behind them, and most responses were late.

A home remembers what it refused by the request's fingerprint. One that comes back keeps the objective of its first attempt; when that can no longer be met, it waits until no other of its priority does, as long as its deadline allows.

--- a/packages/core/src/tanagerreach_core/_class_load.py
+++ b/packages/core/src/tanagerreach_core/_class_load.py
@@ -14,8 +14,8 @@
 # Share of the slots that is expected for less urgent requests at least.
 LEAST_SHARE_LEFT = 0.1
 
-Rank = tuple[int, int]
-"""Priority and urgency of a request; the lower one is placed first."""
+Rank = tuple[int, bool, int]
+"""Priority, whether the latency objective was missed, and urgency; the lower goes first."""
 
 
 @dataclass(slots=True, kw_only=True)
@@ -27,7 +27,7 @@
 
 
 class ClassLoad:
-    """Mean latencies by urgency, and the slots that each priority and urgency uses."""
+    """Mean latencies by urgency, and the slots that the requests of each rank use."""
 
     __slots__ = ("_loads", "_means_s")
 
@@ -53,8 +53,8 @@
 
         :param service_mean_s: mean of the whole service, from which a new class starts.
         """
-        mean_s = self._means_s.get(rank[1], service_mean_s)
-        self._means_s[rank[1]] = mean_s + MEAN_WEIGHT * (latency_s - mean_s)
+        mean_s = self._means_s.get(rank[-1], service_mean_s)
+        self._means_s[rank[-1]] = mean_s + MEAN_WEIGHT * (latency_s - mean_s)
         load = self._loads.setdefault(rank, _Load(slot_count=0.0, updated_s=now_s))
         load.slot_count = _decayed(load, now_s) + latency_s / LOAD_WINDOW_S
         load.updated_s = now_s
@@ -64,8 +64,6 @@
 
         :param slot_count: slots of all targets.
         """
-        if not self.is_mixed:
-            return 1.0
         used = sum(_decayed(load, now_s) for other, load in self._loads.items() if other < rank)
         return max(LEAST_SHARE_LEFT, 1 - used / max(1.0, slot_count))
 
--- a/packages/core/src/tanagerreach_core/_placement.py
+++ b/packages/core/src/tanagerreach_core/_placement.py
@@ -26,6 +26,7 @@
     TargetNotice,
 )
 from ._recent_results import RecentResults
+from ._refused_requests import RefusedRequests
 from ._service_latency import ServiceLatency
 from ._start_time_fair_queue import StartTimeFairQueue, WaitingRequest
 from ._target_ranking import HEALTHY_FAILURE_PROBABILITY_MAX, TargetRanking
@@ -112,6 +113,7 @@
         "_user_share",
         "_queued_keys",
         "_ranking",
+        "_refused",
         "_queue",
         "_placed",
         "_lost_checked_at_s",
@@ -138,6 +140,7 @@
         self._lost_checked_at_s = float("-inf")
         self._latency = ServiceLatency()
         self._class_load = ClassLoad()
+        self._refused = RefusedRequests()
 
     def __len__(self) -> int:
         return len(self._queue)
@@ -224,19 +227,30 @@
             deadline_s=now_s + placement_request.remaining_ms / MS_PER_S,
             objective_s=now_s + placement_request.objective_ms / MS_PER_S,
         )
+        self._restore_objective(request, now_s)
         refusal = self._refusal(request, now_s)
         if refusal is not None:
             if not placement_request.is_in_flight:
                 self.record_refusal(now_s)
-            return self._finish(request, refusal)
+            return self._finish(request, refusal, now_s)
         self._release_lost(now_s)
         self._add(request)
         reply = self._try_place(request, now_s)
         if reply is not None:
             self._remove(request, is_served=reply.state is PlacementState.GRANTED)
-            return self._finish(request, reply)
+            return self._finish(request, reply, now_s)
         return PlacementReply(call_id=placement_request.call_id, state=PlacementState.QUEUED)
 
+    def _restore_objective(self, request: WaitingRequest, now_s: float) -> None:
+        """Restore the latency objective of a request whose caller comes back."""
+        placement_request = request.placement_request
+        if placement_request.is_in_flight:
+            return
+        objective_s = self._refused.take_objective_s(placement_request.fingerprint)
+        if objective_s is not None and objective_s < request.objective_s:
+            request.objective_s = objective_s
+            request.is_overdue = objective_s < now_s + self._class_time_s(placement_request)
+
     def record_refusal(self, now_s: float) -> None:
         """Count a refused request."""
         self._results.add_refused(now_s)
@@ -263,6 +277,8 @@
             return None
         self._crashes.observe(fingerprint, key, outcome, now_s)
         self._record_result(placed.request.placement_request, outcome, now_s)
+        if outcome in NOT_STARTED:
+            self._record_refused(placed.request, now_s)
         state = self._targets.get(placed.target)
         if state is None:
             return None
@@ -389,7 +405,7 @@
             if reply is None:
                 continue
             self._remove(request, is_served=reply.state is PlacementState.GRANTED)
-            decisions.append((request, self._finish(request, reply)))
+            decisions.append((request, self._finish(request, reply, now_s)))
         return decisions
 
     # Queueing and refusing
@@ -427,7 +443,8 @@
         if now_s + wait_s + class_time_s > request.deadline_s:
             cause = RefusalCause.NO_ROOM if wait_s else RefusalCause.DEADLINE
             return self._refuse(placement_request, cause, wait_s)
-        spare_s = max(0.0, request.objective_s - now_s - class_time_s)
+        due_s = request.deadline_s if request.is_overdue else request.objective_s
+        spare_s = max(0.0, due_s - now_s - class_time_s)
         is_long = wait_s > WAIT_SHARE_MAX * spare_s
         # Whether a target has room is counted only for a request that would wait long without it.
         if is_long and (
@@ -504,12 +521,26 @@
             is_listed=state.spec.is_listed,
         )
 
-    def _finish(self, request: WaitingRequest, reply: PlacementReply) -> PlacementReply:
+    def _finish(
+        self, request: WaitingRequest, reply: PlacementReply, now_s: float
+    ) -> PlacementReply:
+        if reply.state is PlacementState.REFUSED:
+            self._record_refused(request, now_s)
         self._finished_replies[request.key] = reply
         if len(self._finished_replies) > FINISHED_REPLIES_MAX:
             del self._finished_replies[next(iter(self._finished_replies))]
         return reply
 
+    def _record_refused(self, request: WaitingRequest, now_s: float) -> None:
+        placement_request = request.placement_request
+        if not placement_request.is_in_flight:
+            self._refused.record(
+                placement_request.fingerprint,
+                objective_s=request.objective_s,
+                deadline_s=request.deadline_s,
+                now_s=now_s,
+            )
+
     def _release_lost(self, now_s: float) -> None:
         """Free the slots of requests whose completion was never reported."""
         if now_s - self._lost_checked_at_s < LOST_COMPLETION_CHECK_INTERVAL_S:
