--- a/packages/core/src/tanagerreach_core/_placement.py
+++ b/packages/core/src/tanagerreach_core/_placement.py
@@ -13,6 +13,7 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
+from ._class_load import ClassLoad
 from ._crash_streaks import CrashStreaks
 from ._expected_work import NO_LATE_COSTS, ExpectedWork, TargetWork, late_costs
 from ._failure_estimator import FailureEstimator
@@ -26,6 +27,7 @@
     TargetNotice,
 )
 from ._recent_results import RecentResults
+from ._refused_requests import RefusedRequests
 from ._service_latency import ServiceLatency
 from ._start_time_fair_queue import StartTimeFairQueue, WaitingRequest
 from ._target_ranking import HEALTHY_FAILURE_PROBABILITY_MAX, TargetRanking
@@ -49,6 +51,8 @@
 WAIT_SHARE_MAX = 0.6
 # The same while only targets that are likely to fail have free slots: they may be healthy.
 LIKELY_FAILING_WAIT_SHARE_MAX = 1.5
+# A queued request is refused when less than this share of the usual latency is left.
+MIN_CLASS_TIME_SHARE = 1 / 4
 # A placement without a completion is released this long after its request's deadline.
 LOST_COMPLETION_GRACE_S = 0.5
 LOST_COMPLETION_CHECK_INTERVAL_S = 0.25
@@ -101,6 +105,7 @@
     """
 
     __slots__ = (
+        "_class_load",
         "_crashes",
         "_finished_replies",
         "_floor_share",
@@ -110,6 +115,7 @@
         "_user_share",
         "_queued_keys",
         "_ranking",
+        "_refused",
         "_queue",
         "_placed",
         "_lost_checked_at_s",
@@ -138,6 +144,8 @@
         self._latency = ServiceLatency()
         # Expected work of requests, while they are placed by it.
         self._work: ExpectedWork | None = None
+        self._class_load = ClassLoad()
+        self._refused = RefusedRequests()
 
     def __len__(self) -> int:
         return len(self._queue)
@@ -236,19 +244,30 @@
             deadline_s=now_s + placement_request.remaining_ms / MS_PER_S,
             objective_s=now_s + placement_request.objective_ms / MS_PER_S,
         )
+        self._restore_objective(request, now_s)
         refusal = self._refusal(request, now_s)
         if refusal is not None:
             if not placement_request.is_in_flight:
                 self.record_refusal(now_s)
-            return self._finish(request, refusal)
+            return self._finish(request, refusal, now_s)
         self._release_lost(now_s)
         self._add(request)
         reply = self._try_place(request, now_s)
         if reply is not None:
             self._remove(request, is_served=reply.state is PlacementState.GRANTED)
-            return self._finish(request, reply)
+            return self._finish(request, reply, now_s)
         return PlacementReply(call_id=placement_request.call_id, state=PlacementState.QUEUED)
 
+    def _restore_objective(self, request: WaitingRequest, now_s: float) -> None:
+        """Restore the latency objective of a request whose caller comes back."""
+        placement_request = request.placement_request
+        if placement_request.is_in_flight:
+            return
+        objective_s = self._refused.take_objective_s(placement_request.fingerprint)
+        if objective_s is not None and objective_s < request.objective_s:
+            request.objective_s = objective_s
+            request.is_overdue = objective_s < now_s + self._class_time_s(placement_request)
+
     def record_refusal(self, now_s: float) -> None:
         """Count a refused request."""
         self._results.add_refused(now_s)
@@ -275,6 +294,8 @@
             return None
         self._crashes.observe(fingerprint, key, outcome, now_s)
         self._record_result(placed.request.placement_request, outcome, now_s)
+        if outcome in NOT_STARTED:
+            self._record_refused(placed.request, now_s)
         state = self._targets.get(placed.target)
         if state is None:
             return None
@@ -296,6 +317,9 @@
             self._record_work(placed, state, latency_s, now_s)
         self._ranking.update(state, self._latency, now_s)
         if outcome is Outcome.SUCCESS:
+            self._class_load.record_served(
+                placed.request.rank, latency_s, self.service_time_s, now_s
+            )
             self._latency.record(latency_s)
             return None
         return PlacementEvent(
@@ -421,11 +445,15 @@
             if reply is None:
                 continue
             self._remove(request, is_served=reply.state is PlacementState.GRANTED)
-            decisions.append((request, self._finish(request, reply)))
+            decisions.append((request, self._finish(request, reply, now_s)))
         return decisions
 
     # Queueing and refusing
 
+    def _class_time_s(self, placement_request: PlacementRequest) -> float:
+        """Return the mean latency of successful requests like this one."""
+        return self._class_load.mean_s(placement_request.urgency, self.service_time_s)
+
     def _add(self, request: WaitingRequest) -> None:
         self._queue.add(request)
         self._queued_keys.add(request.key)
@@ -450,11 +478,13 @@
             self._is_eligible(state, placement_request, now_s) for state in self._targets.values()
         ):
             return self._refuse(placement_request, RefusalCause.NO_TARGET, RETRY_AFTER_MIN_S)
-        wait_s = self._expected_wait_s(placement_request, now_s)
-        if now_s + wait_s + self.service_time_s > request.deadline_s:
+        wait_s = self._expected_wait_s(request, now_s)
+        class_time_s = self._class_time_s(placement_request)
+        if now_s + wait_s + class_time_s > request.deadline_s:
             cause = RefusalCause.NO_ROOM if wait_s else RefusalCause.DEADLINE
             return self._refuse(placement_request, cause, wait_s)
-        spare_s = max(0.0, request.objective_s - now_s - self.service_time_s)
+        due_s = request.deadline_s if request.is_overdue else request.objective_s
+        spare_s = max(0.0, due_s - now_s - class_time_s)
         is_long = wait_s > WAIT_SHARE_MAX * spare_s
         # Whether a target has room is counted only for a request that would wait long without it.
         if is_long and (
@@ -487,17 +517,26 @@
         )
         return self._free_slot_count() - unusable
 
-    def _expected_wait_s(self, placement_request: PlacementRequest, now_s: float) -> float:
-        ahead = self._queue.count_ahead_of(placement_request.priority, placement_request.workspace)
+    def _expected_wait_s(self, request: WaitingRequest, now_s: float) -> float:
+        ahead = self._queue.ahead_of(request)
         if not ahead:
             return 0.0
         self._ranking.evaluate(self._latency, now_s)
-        return ahead * self.service_time_s / max(1.0, self._ranking.capacity)
+        capacity = self._ranking.capacity
+        share = self._class_load.share_left(request.rank, capacity, now_s)
+        return self._work_s(ahead) / max(1.0, share * capacity)
+
+    def _work_s(self, requests: list[WaitingRequest]) -> float:
+        """Return the time for which requests are expected to use slots."""
+        if not self._class_load.is_mixed:
+            return len(requests) * self.service_time_s
+        return sum(self._class_time_s(request.placement_request) for request in requests)
 
     def _try_place(self, request: WaitingRequest, now_s: float) -> PlacementReply | None:
         placement_request = request.placement_request
-        if now_s + self._min_service_time_s() > request.deadline_s:
-            return self._refuse(placement_request, RefusalCause.NO_ROOM, self.service_time_s)
+        class_time_s = self._class_time_s(placement_request)
+        if now_s + MIN_CLASS_TIME_SHARE * class_time_s > request.deadline_s:
+            return self._refuse(placement_request, RefusalCause.NO_ROOM, class_time_s)
         state = self._choose(request, now_s)
         if state is None:
             return None
@@ -530,15 +569,26 @@
             work_left_ms=int(MS_PER_S * work_left_s),
         )
 
-    def _min_service_time_s(self) -> float:
-        return self.service_time_s / 4
-
-    def _finish(self, request: WaitingRequest, reply: PlacementReply) -> PlacementReply:
+    def _finish(
+        self, request: WaitingRequest, reply: PlacementReply, now_s: float
+    ) -> PlacementReply:
+        if reply.state is PlacementState.REFUSED:
+            self._record_refused(request, now_s)
         self._finished_replies[request.key] = reply
         if len(self._finished_replies) > FINISHED_REPLIES_MAX:
             del self._finished_replies[next(iter(self._finished_replies))]
         return reply
 
+    def _record_refused(self, request: WaitingRequest, now_s: float) -> None:
+        placement_request = request.placement_request
+        if not placement_request.is_in_flight:
+            self._refused.record(
+                placement_request.fingerprint,
+                objective_s=request.objective_s,
+                deadline_s=request.deadline_s,
+                now_s=now_s,
+            )
+
     def _release_lost(self, now_s: float) -> None:
         """Free the slots of requests whose completion was never reported."""
         if now_s - self._lost_checked_at_s < LOST_COMPLETION_CHECK_INTERVAL_S:
@@ -615,7 +665,8 @@
         """
         if request.placement_request.is_in_flight:
             return HEALTHY_FAILURE_PROBABILITY_MAX
-        latest_s = min(request.objective_s, request.deadline_s) - 2 * self.service_time_s
+        class_time_s = self._class_time_s(request.placement_request)
+        latest_s = min(request.objective_s, request.deadline_s) - 2 * class_time_s
         spare_s = latest_s - request.arrived_s
         # Waiting helps only if a target that is likely healthy is merely busy.
         if spare_s <= 0 or not self._ranking.has_healthy(request.placement_request.excluded):
--- a/packages/core/src/tanagerreach_core/_placement_messages.py
+++ b/packages/core/src/tanagerreach_core/_placement_messages.py
@@ -70,9 +70,10 @@
     before; ``is_retry`` states whether it was sent to one. ``accepts_stale`` allows a placement
     also when the home's list of targets may be out of date. ``is_decided_alone`` is set by an
     instance that places the request itself because no home replied. ``is_in_flight`` states that a
-    target is still working on the request, so that a refusal does not leave it unserved.
-    ``work_class`` and ``path_shape`` tell requests apart that likely take different times; both
-    are 0 when the requester does not say it.
+    target is still working on the request, so that a refusal does not leave it unserved. Of the
+    requests of one ``priority``, those of the lower ``urgency`` go first. ``work_class`` and
+    ``path_shape`` tell requests apart that likely take different times; both are 0 when the
+    requester does not say it.
     """
 
     call_id: int
@@ -89,6 +90,7 @@
     accepts_stale: bool = False
     is_decided_alone: bool = False
     is_in_flight: bool = False
+    urgency: int = 0
     work_class: int = 0
     path_shape: int = 0
 
@@ -168,6 +170,18 @@
     fleet_percent: int = 100
 
 
+class QuotaReturn(msgspec.Struct, kw_only=True, array_like=True, tag=31):
+    """Returns the unit of a :class:`QuotaRequest` whose request did not run.
+
+    It is not acknowledged: when it is lost, the unit is lost.
+
+    :param call_id: call id of the quota request.
+    """
+
+    call_id: int
+    workspace: str
+
+
 class CompletionAck(msgspec.Struct, kw_only=True, array_like=True, tag=25):
     """Acknowledges a :class:`PlacementCompletion`."""
 
