Let the distributions of work remember 400 samples

With 100 samples a class knew shares of late requests no smaller than 1 %, and requests at hanging targets waited longer before their target counted as failing.

--- a/packages/core/src/tanagerreach_core/_work_distribution.py
+++ b/packages/core/src/tanagerreach_core/_work_distribution.py
@@ -16,7 +16,7 @@
 PRIOR_SAMPLES = 8.0
 # Time after which a sample has half of its weight, and weight of all samples together.
 HALF_LIFE_S = 20.0
-SAMPLES_MAX = 100.0
+SAMPLES_MAX = 400.0
 # Samples change the figures that decisions use at this interval.
 UPDATE_INTERVAL_S = 0.5
 # A request that has run longer than all known ones is expected to take this share of its age more.
