Let retries go to tried targets when others are unlikely to serve them

When another was left that hung, the retry waited for it until its deadline and was refused after 1.4 s.

A placement request now names which of its excluded targets it was sent to. When the other targets that are up are likely to serve less than one request at a time, these may get it again, unless the instance could not connect there. Tries and retry budget bound it as before.

Also tests that the application returns the quota of a shed request.

--- a/packages/core/src/tanagerreach_core/_placement.py
+++ b/packages/core/src/tanagerreach_core/_placement.py
@@ -13,6 +13,8 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
+import msgspec
+
 from ._class_load import ClassLoad
 from ._crash_streaks import CrashStreaks
 from ._failure_estimator import FailureEstimator
@@ -220,6 +222,7 @@
         known = self._known_reply(key)
         if known is not None:
             return known
+        placement_request = self._with_tried_targets(key[0], placement_request, now_s)
         request = WaitingRequest(
             key=key,
             placement_request=placement_request,
@@ -241,6 +244,38 @@
             return self._finish(request, reply, now_s)
         return PlacementReply(call_id=placement_request.call_id, state=PlacementState.QUEUED)
 
+    def _with_tried_targets(
+        self, requester: str, placement_request: PlacementRequest, now_s: float
+    ) -> PlacementRequest:
+        """Let a request go again to the targets that it was sent to, when others have no room."""
+        if not placement_request.tried:
+            return placement_request
+        if self._capacity_left(requester, placement_request, now_s) >= 1:
+            return placement_request
+        again = {
+            name
+            for name in placement_request.tried
+            if name in self._targets and self._targets[name].is_up(requester, now_s)
+        }
+        excluded = [name for name in placement_request.excluded if name not in again]
+        return msgspec.structs.replace(placement_request, excluded=excluded)
+
+    def _capacity_left(
+        self, requester: str, placement_request: PlacementRequest, now_s: float
+    ) -> float:
+        """Return how many requests the targets that a request may go to are likely to serve."""
+        self._ranking.evaluate(self._latency, now_s)
+        return sum(
+            state.capacity(self.service_time_s) * (1 - self._ranking.failure_probability(name))
+            for name, state in self._targets.items()
+            if self._is_eligible(state, placement_request, now_s) and state.is_up(requester, now_s)
+        )
+
+    def _has_target(self, placement_request: PlacementRequest, now_s: float) -> bool:
+        return any(
+            self._is_eligible(state, placement_request, now_s) for state in self._targets.values()
+        )
+
     def _restore_objective(self, request: WaitingRequest, now_s: float) -> None:
         """Restore the latency objective of a request whose caller comes back."""
         placement_request = request.placement_request
@@ -434,9 +469,7 @@
         placement_request = request.placement_request
         if self._crashes.is_refused(placement_request.fingerprint, now_s):
             return self._refuse(placement_request, RefusalCause.CRASH_REQUEST)
-        if not any(
-            self._is_eligible(state, placement_request, now_s) for state in self._targets.values()
-        ):
+        if not self._has_target(placement_request, now_s):
             return self._refuse(placement_request, RefusalCause.NO_TARGET, RETRY_AFTER_MIN_S)
         wait_s = self._expected_wait_s(request, now_s)
         class_time_s = self._class_time_s(placement_request)
--- a/packages/core/src/tanagerreach_core/_placement_messages.py
+++ b/packages/core/src/tanagerreach_core/_placement_messages.py
@@ -71,7 +71,8 @@
     also when the home's list of targets may be out of date. ``is_decided_alone`` is set by an
     instance that places the request itself because no home replied. ``is_in_flight`` states that a
     target is still working on the request, so that a refusal does not leave it unserved. Of the
-    requests of one ``priority``, those of the lower ``urgency`` go first.
+    requests of one ``priority``, those of the lower ``urgency`` go first. ``tried`` are those
+    ``excluded`` targets that may get the request again when no other target is likely to serve it.
     """
 
     call_id: int
@@ -89,6 +90,7 @@
     is_decided_alone: bool = False
     is_in_flight: bool = False
     urgency: int = 0
+    tried: list[str] = msgspec.field(default_factory=list)
 
 
 class PlacementReply(msgspec.Struct, kw_only=True, array_like=True, tag=21):
--- a/packages/core/src/tanagerreach_core/_target_state.py
+++ b/packages/core/src/tanagerreach_core/_target_state.py
@@ -217,6 +217,10 @@
         )
         return now_s >= until_s
 
+    def is_up(self, requester: str, now_s: float) -> bool:
+        """Return whether an instance could connect at its latest try."""
+        return self.is_reachable(requester, now_s) and now_s >= self.failure_estimator.down_until_s
+
     def is_idle(self, for_s: float, now_s: float) -> bool:
         """Return whether the target is up and got no request for longer than ``for_s``."""
         return now_s - self._latest_start_s > for_s and now_s >= self.failure_estimator.down_until_s
--- a/packages/core/tests/test_placement.py
+++ b/packages/core/tests/test_placement.py
@@ -169,6 +169,58 @@
             )
         )
 
+    def test_request_is_given_up_as_its_only_target_failed_it(self):
+        """Guards against callers that get an error at once while their retry would be served.
+
+        Load pattern: all targets of a small service but one have gone, and that one sheds requests
+        by turns. One that the instance cannot connect to, or must not use, is not tried again.
+        """
+        for outcome, hard, expected in (
+            (Outcome.SHED, [], PlacementState.GRANTED),
+            (Outcome.BROKEN_BEFORE_HEAD, [], PlacementState.GRANTED),
+            (Outcome.CONNECT_FAILURE, [], PlacementState.REFUSED),
+            (Outcome.SHED, ["t1"], PlacementState.GRANTED),
+            (Outcome.SHED, ["t0"], PlacementState.REFUSED),
+        ):
+            with self.subTest(outcome=outcome, hard=hard):
+                placement = make_placement(make_targets(1 + ("t1" in hard)))
+                requester = Requester(placement)
+                key, _ = requester.place(0.0, excluded=hard if "t1" in hard else [])
+                placement.complete(key, outcome, 0.01, b"", 0.01)
+                tried = [] if "t0" in hard else ["t0"]
+                fields = {"is_retry": True, "is_retryable": True, "tried": tried}
+                reply = requester.place(0.02, excluded=[*hard, *tried], **fields)[1]
+                self.assertIs(reply.state, expected)
+                if expected is PlacementState.GRANTED:
+                    self.assertEqual(reply.target, "t0")
+
+    def test_retry_waits_for_targets_that_hang(self):
+        """Guards against a retry that waits until its deadline for targets that do not respond.
+
+        Load pattern: one target resets most requests at once, and the other one hangs.
+        """
+        placement = make_placement(make_targets(2))
+        requester = Requester(placement)
+        for _ in range(6):
+            key, _ = requester.place(0.0, excluded=["t1"])
+            placement.complete(key, Outcome.BROKEN_BEFORE_HEAD, 0.01, b"", 0.01)
+        for _ in range(4):
+            requester.place(0.0, excluded=["t0"])
+        fields = {"is_retry": True, "is_retryable": True, "tried": ["t0"]}
+        reply = requester.place(2.0, excluded=["t0"], **fields)[1]
+        self.assertEqual((reply.state, reply.target), (PlacementState.GRANTED, "t0"))
+
+    def test_other_target_goes_before_a_tried_one(self):
+        """Guards against a retry at the target that has failed the request."""
+        placement = make_placement(make_targets(2))
+        requester = Requester(placement)
+        key, reply = requester.place(0.0)
+        placement.complete(key, Outcome.BROKEN_BEFORE_HEAD, 0.01, b"", 0.01)
+        fields = {"is_retry": True, "is_retryable": True, "tried": [reply.target]}
+        self.assertNotEqual(
+            requester.place(0.02, excluded=[reply.target], **fields)[1].target, reply.target
+        )
+
     def test_impossible_request_is_refused_at_once(self):
         """Guards against a caller that waits although its deadline cannot be met."""
         placement = make_placement(make_targets(1))
--- a/packages/daemon/src/tanagerreachd/gateway/_request.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_request.py
@@ -146,6 +146,7 @@
             accepts_stale=accepts_stale,
             is_in_flight=bool(self.late_target),
             urgency=self.match.route.priority,
+            tried=[entry.target for entry in self.tries],
         )
 
     def _excluded(self) -> list[str]:
--- a/packages/daemon/tests/test_gateway_application.py
+++ b/packages/daemon/tests/test_gateway_application.py
@@ -8,11 +8,12 @@
 import gevent
 from gevent import socket
 from scripted_target import ScriptedTarget
-from tanagerreach_core.config import Configuration, Resolver, Route, Service
+from tanagerreach_core.config import Configuration, Resolver, Route, Service, Workspace
 from tanagerreach_core.messages import (
     PlacementReply,
     PlacementRequest,
     PlacementState,
+    QuotaReply,
     RefusalCause,
 )
 from tanagerreach_core.placement import InstanceRetryBudget
@@ -21,10 +22,10 @@
 from tanagerreachd._caller_watch import CallerDisconnectedError, CallerWatch
 from tanagerreachd._http_head import HeaderFields
 from tanagerreachd._upstream import UpstreamClient
-from tanagerreachd._upstream_errors import LoadShedError
+from tanagerreachd._upstream_errors import BrokenConnectionError, LoadShedError
 from tanagerreachd.gateway import CallerLimits, Dialect
 from tanagerreachd.gateway._application import GatewayApplication
-from tanagerreachd.gateway._placement_client import Placement
+from tanagerreachd.gateway._placement_client import Placement, QuotaUnit
 from tanagerreachd.targets import TargetDialect
 
 LIMITS = CallerLimits(header_bytes=1000, body_bytes=1000, header_time_s=1.0, idle_time_s=1.0)
@@ -50,6 +51,7 @@
     def __init__(self):
         self.placed_count = 0
         self.outcomes = []
+        self.returned_units = []
 
     def acquire(self, make_request):
         placement_request = make_request(self.placed_count, False)
@@ -72,6 +74,13 @@
     def report_refusal(self, service):
         pass
 
+    def take_quota(self, workspace):
+        reply = QuotaReply(call_id=7, is_granted=True)
+        return QuotaUnit(reply=reply, workspace=workspace, home=None)
+
+    def return_quota(self, unit):
+        self.returned_units.append(unit)
+
 
 class GatewayApplicationTest(unittest.TestCase):
     """A target sheds the first try of a request that may not be retried once it has run."""
@@ -131,6 +140,25 @@
         self.assertEqual(self.homes.outcomes, [Outcome.SHED])
         self.assertEqual(len(self.watch), 0)
 
+    def test_request_that_did_not_run_uses_up_the_quota(self):
+        """Guards against a workspace that loses its quota to requests that its targets shed."""
+        outcomes = ((LoadShedError("t1", "shed"), 1), (BrokenConnectionError("t1", "broke"), 0))
+        for error, returned_count in outcomes:
+            with self.subTest(error=type(error).__name__):
+                self.homes.returned_units.clear()
+                with (
+                    mock.patch.object(
+                        self.application, "_find_workspace", return_value=Workspace(name="w")
+                    ),
+                    mock.patch.object(self.application._upstream, "send", side_effect=error),
+                    mock.patch(f"{__name__}.QUEUE_S", 0.0),
+                ):
+                    here, there = socket.socketpair()
+                    self.addCleanup(here.close)
+                    self.addCleanup(there.close)
+                    self.start_request(here).get(timeout=5.0)
+                self.assertEqual(len(self.homes.returned_units), returned_count)
+
 
 class ScriptedHomes(SlowHomes):
     """Places the first try at a slow target; further ones as scripted, after a wait.
