Show returning callers and returned quota in the logs

home load tells how many queued requests came back too late for their objective and how many refused ones may come back; a refusal tells when it returned the request's unit of quota.

--- a/packages/core/src/tanagerreach_core/_placement.py
+++ b/packages/core/src/tanagerreach_core/_placement.py
@@ -84,9 +84,13 @@
 
     :param unserved_share: share of the recent requests that were not served, from 0 to 1.
     :param failed_share: share of the recent requests that failed at targets, from 0 to 1.
+    :param overdue_count: queued requests that came back too late for their latency objective.
+    :param awaited_count: refused requests that may come back.
     """
 
     waiting_count: int
+    overdue_count: int
+    awaited_count: int
     in_flight_count: int
     unserved_share: float
     failed_share: float
@@ -166,6 +170,8 @@
         """Return the service's present load."""
         return PlacementLoad(
             waiting_count=len(self._queue),
+            overdue_count=sum(request.is_overdue for request in self._queue),
+            awaited_count=self._refused.awaited_count,
             in_flight_count=len(self._placed),
             unserved_share=self._results.unserved_share(now_s),
             failed_share=self._results.failed_share(now_s),
--- a/packages/core/src/tanagerreach_core/_refused_requests.py
+++ b/packages/core/src/tanagerreach_core/_refused_requests.py
@@ -33,6 +33,11 @@
         # In the order of the refusals, with some of those that are back.
         self._refusals: deque[_Refusal] = deque()
 
+    @property
+    def awaited_count(self) -> int:
+        """Number of refused requests that may come back."""
+        return self._awaited_count
+
     def record(
         self, fingerprint: bytes, *, objective_s: float, deadline_s: float, now_s: float
     ) -> None:
--- a/packages/daemon/src/tanagerreachd/gateway/_application.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_application.py
@@ -238,16 +238,25 @@
             self._retry_budgets.of(request.service_name).record_first_try(_clock.now_s())
             self._take_quota(request)
             return self._try_targets(request)
+        except RefusalError as refusal:
+            if self._return_quota(request):
+                refusal.inputs["quota_returned"] = True
+            raise
         except BaseException:
             self._return_quota(request)
             raise
         finally:
             request.end_watch()
 
-    def _return_quota(self, request: GatewayRequest) -> None:
-        """Return the unit of quota of a request that is given up and has certainly not run."""
-        if request.quota_unit is not None and not request.may_have_run:
-            self._placement_client.return_quota(request.quota_unit)
+    def _return_quota(self, request: GatewayRequest) -> bool:
+        """Return the unit of quota of a request that is given up and has certainly not run.
+
+        :returns: false when it took none, or may have run.
+        """
+        if request.quota_unit is None or request.may_have_run:
+            return False
+        self._placement_client.return_quota(request.quota_unit)
+        return True
 
     def _begin_watch(self, request: GatewayRequest) -> None:
         """Cancel the request when its caller disconnects, until the watch is ended.
--- a/packages/daemon/src/tanagerreachd/gateway/_home_server.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_home_server.py
@@ -300,6 +300,8 @@
                 request_count=work.request_count,
                 decision_ms=int(1000 * work.decision_s),
                 waiting_count=load.waiting_count,
+                overdue_count=load.overdue_count,
+                awaited_count=load.awaited_count,
                 in_flight_count=load.in_flight_count,
                 unserved_percent=round(100 * load.unserved_share),
                 failed_percent=round(100 * load.failed_share),
