--- a/packages/daemon/src/tanagerreachd/gateway/_request.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_request.py
@@ -153,6 +153,7 @@
             work_class=self._work_class() if tells_work else 0,
             path_shape=path_shape(self.raw_target) if tells_work else 0,
             urgency=self.match.route.priority,
+            tried=[entry.target for entry in self.tries],
         )
 
     def _work_class(self) -> int:
