Compare versions and move a service's traffic between them in the core

Requests went to the targets of all versions alike, so a version that is bad got its share of the traffic at once. The home now distinguishes the versions of targets where that is asked for: an ordered version gets a small share until its responses have been compared with those of the present one, then the traffic moves in steps that are watched. Without versions nothing changes: the targets in use are all targets.

--- a/packages/core/src/tanagerreach_core/_messages.py
+++ b/packages/core/src/tanagerreach_core/_messages.py
@@ -21,6 +21,7 @@
     QuotaRequest,
     RefusalNotice,
 )
+from ._rollout_messages import RolloutProgress, RoutedPlacementRequest
 from ._slots import SlotSet
 
 
@@ -277,6 +278,8 @@
     | PeerNews
     | FailureDigest
     | RefusalNotice
+    | RoutedPlacementRequest
+    | RolloutProgress
 )
 
 
--- a/packages/core/src/tanagerreach_core/_placement.py
+++ b/packages/core/src/tanagerreach_core/_placement.py
@@ -25,7 +25,9 @@
     TargetNotice,
 )
 from ._recent_results import RecentResults
+from ._rollout import RolloutFacts
 from ._service_latency import ServiceLatency
+from ._service_versions import ServiceVersions
 from ._start_time_fair_queue import StartTimeFairQueue, WaitingRequest
 from ._target_ranking import HEALTHY_FAILURE_PROBABILITY_MAX, TargetRanking
 from ._target_state import PlacedRequest, PlacementTarget, TargetState
@@ -96,6 +98,7 @@
     :param floor_share: share of the targets that has to be in use while many requests are not
         served, from 0 to 1.
     :param crashes: requests that may crash targets, by default none that other homes know.
+    :param versions: versions of the targets, ``None`` when they are not distinguished.
     """
 
     __slots__ = (
@@ -114,13 +117,24 @@
         "_results",
         "_slot_count",
         "_targets",
+        "_used_targets",
+        "_versions",
     )
 
-    def __init__(self, *, floor_share: float, crashes: CrashStreaks | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        floor_share: float,
+        crashes: CrashStreaks | None = None,
+        versions: ServiceVersions | None = None,
+    ) -> None:
         self._floor_share = floor_share
         self._crashes = CrashStreaks() if crashes is None else crashes
         self._queue = StartTimeFairQueue()
         self._targets: dict[str, TargetState] = {}
+        self._versions = versions
+        # Targets that get requests; those of another version get none, or a small share.
+        self._used_targets = self._targets
         self._placed: dict[tuple[str, int], PlacedRequest] = {}
         self._queued_keys: set[tuple[str, int]] = set()
         self._ranking = TargetRanking()
@@ -181,9 +195,23 @@
                 known.spec = spec
         for name in set(self._targets) - set(wanted):
             del self._targets[name]
-        self._ranking.set_targets(self._targets)
+        self.select_versions()
+
+    def select_versions(self) -> None:
+        """Use the targets of the versions that may get requests now."""
+        if self._versions is not None:
+            self._used_targets = self._versions.select(self._targets)
+        self._ranking.set_targets(self._used_targets)
         self._idle_plan = None
-        self._slot_count = sum(target.slot_count for target in wanted.values())
+        self._slot_count = sum(state.spec.slot_count for state in self._used_targets.values())
+
+    def rollout_facts(self, now_s: float) -> RolloutFacts | None:
+        """Return the state of the service for its roll-out, ``None`` without versions."""
+        if self._versions is None:
+            return None
+        return self._versions.facts(
+            self._targets, user_share=self._user_share, lent_share=self._lent_share, now_s=now_s
+        )
 
     def set_user_share(self, user_share: float) -> None:
         """Set the share of the instances that use this home, from 0 to 1."""
@@ -257,6 +285,8 @@
         if placed is None:
             return None
         self._crashes.observe(fingerprint, key, outcome, now_s)
+        if self._versions is not None:
+            self._versions.record_result(key, outcome, latency_s, now_s)
         self._record_result(placed.request.placement_request, outcome, now_s)
         state = self._targets.get(placed.target)
         if state is None:
@@ -407,7 +437,8 @@
         if self._crashes.is_refused(placement_request.fingerprint, now_s):
             return self._refuse(placement_request, RefusalCause.CRASH_REQUEST)
         if not any(
-            self._is_eligible(state, placement_request, now_s) for state in self._targets.values()
+            self._is_eligible(state, placement_request, now_s)
+            for state in self._used_targets.values()
         ):
             return self._refuse(placement_request, RefusalCause.NO_TARGET, RETRY_AFTER_MIN_S)
         wait_s = self._expected_wait_s(placement_request, now_s)
@@ -442,7 +473,7 @@
         """Return the number of free slots without those that targets take no requests for."""
         unusable = sum(
             max(0, state.spec.slot_count - len(state.in_flight))
-            for state in self._targets.values()
+            for state in self._used_targets.values()
             if (state.limit is not None or state.is_leaving) and not state.has_room(now_s)
         )
         return self._free_slot_count() - unusable
@@ -463,8 +494,10 @@
             return None
         placed = PlacedRequest(request=request, target=state.spec.name, started_s=now_s)
         self._placed[request.key] = placed
-        failure_probability = self._ranking.failure_probability(state.spec.name)
+        failure_probability = self._failure_probability(state, now_s)
         state.start(placed)
+        if self._versions is not None:
+            self._versions.record_sent(request, state, now_s)
         self._ranking.update(state, self._latency, now_s)
         return PlacementReply(
             call_id=placement_request.call_id,
@@ -500,6 +533,8 @@
             if now_s <= placed.request.deadline_s + LOST_COMPLETION_GRACE_S:
                 continue
             del self._placed[key]
+            if self._versions is not None:
+                self._versions.forget(key)
             state = self._targets.get(placed.target)
             if state is not None:
                 state.complete(key)
@@ -507,7 +542,21 @@
 
     # Choice of the target
 
+    def _failure_probability(self, state: TargetState, now_s: float) -> float:
+        if state.spec.name in self._used_targets:
+            return self._ranking.failure_probability(state.spec.name)
+        return state.request_failure_probability(self._latency, now_s)
+
     def _choose(self, request: WaitingRequest, now_s: float) -> TargetState | None:
+        if self._versions is None:
+            return self._choose_used(request, now_s)
+        return (
+            self._versions.choose_minor(request, self._may_use, now_s)
+            or self._choose_used(request, now_s)
+            or self._versions.choose_overflow(request, self._may_use, now_s)
+        )
+
+    def _choose_used(self, request: WaitingRequest, now_s: float) -> TargetState | None:
         is_evaluated = self._ranking.evaluate(self._latency, now_s)
         if not self._ranking:
             return None
@@ -527,7 +576,7 @@
 
     def _plan_idle_targets(self, now_s: float) -> IdleTargetPlan:
         return IdleTargetPlan(
-            self._targets.values(),
+            self._used_targets.values(),
             use=idle_target_use(self._results, len(self._placed), now_s),
             failure_probability=lambda state: self._ranking.failure_probability(state.spec.name),
             floor_share=self._floor_share,
--- a/packages/core/src/tanagerreach_core/_target_state.py
+++ b/packages/core/src/tanagerreach_core/_target_state.py
@@ -52,6 +52,7 @@
     :param cold_rate_per_s: requests per second that it can take while it is cold.
     :param started_ms: its start time by its own clock, 0 when unknown; distinguishes its runs.
     :param is_listed: whether the latest list of targets has it.
+    :param software_version: version of its software, empty when unknown.
     """
 
     name: str
@@ -62,6 +63,7 @@
     cold_rate_per_s: float = 0.0
     started_ms: int = 0
     is_listed: bool = True
+    software_version: str = ""
 
 
 @dataclass(slots=True, kw_only=True)
--- a/packages/core/src/tanagerreach_core/messages.py
+++ b/packages/core/src/tanagerreach_core/messages.py
@@ -41,6 +41,7 @@
     RefusalCause,
     RefusalNotice,
 )
+from ._rollout_messages import RolloutProgress, RoutedPlacementRequest
 from ._slots import SlotSet
 
 __all__ = [
@@ -74,6 +75,8 @@
     "RefusalNotice",
     "ServiceReply",
     "ServiceReport",
+    "RolloutProgress",
+    "RoutedPlacementRequest",
     "SlotSet",
     "TargetReport",
     "TargetState",
--- a/packages/core/src/tanagerreach_core/placement.py
+++ b/packages/core/src/tanagerreach_core/placement.py
@@ -8,14 +8,25 @@
 from ._peer_table import Peer, PeerChange, PeerTable
 from ._placement import PlacementEvent, ServicePlacement, awaits_retry, may_retry
 from ._placement_messages import NO_NOTICE, TargetNotice
+from ._rollout import (
+    Rollout,
+    RolloutFacts,
+    RolloutLimits,
+    RolloutOrder,
+    RolloutStage,
+    StageChange,
+)
+from ._service_versions import ServiceVersions
 from ._start_time_fair_queue import StartTimeFairQueue, WaitingRequest
 from ._target_notices import TargetNotices
 from ._target_state import PlacementTarget
+from ._version_comparison import Assessment, Side
 from ._workspace_quota import WorkspaceQuota
 
 __all__ = [
     "NO_NOTICE",
     "TICK_S",
+    "Assessment",
     "CrashStreaks",
     "FailureEstimator",
     "FleetNews",
@@ -28,7 +39,15 @@
     "PlacementEvent",
     "PlacementTarget",
     "RetryBudgetUse",
+    "Rollout",
+    "RolloutFacts",
+    "RolloutLimits",
+    "RolloutOrder",
+    "RolloutStage",
     "ServicePlacement",
+    "ServiceVersions",
+    "Side",
+    "StageChange",
     "StartTimeFairQueue",
     "TargetNotice",
     "TargetNotices",
