Roll out service versions by the operator's orders

The gateway reads the orders with the operator state and the versions with the targets' entries, judges the versions at the services' homes, and writes the status by compare-and-swap. It does so only where the settings bound the exposure (bounds.canaryShare). Requesters name the route to the home, and homes send their progress to the next one, only while a roll-out is ordered. Tests of the gateway's and the adapter's modules pass.

--- a/packages/daemon/src/tanagerreachd/_metrics.py
+++ b/packages/daemon/src/tanagerreachd/_metrics.py
@@ -121,6 +121,31 @@
         return [((), self._read())]
 
 
+class Gauges(_SingleValueMetric):
+    """Metric whose values are read by their labels when the metrics are rendered.
+
+    :param read: returns the current values by label values.
+    """
+
+    prometheus_type = "gauge"
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        description: str,
+        labels: tuple[str, ...],
+        read: Callable[[], dict[tuple[str, ...], float]],
+    ) -> None:
+        super().__init__(
+            name=name, description=description, labels=labels, series_limit=COUNTER_SERIES_LIMIT
+        )
+        self._read = read
+
+    def _current_series(self) -> list[tuple[tuple[str, ...], Any]]:
+        return list(self._read().items())[: self._series_limit]
+
+
 class _LatencySeries:
     __slots__ = ("histogram", "sum_us")
 
@@ -198,6 +223,16 @@
         """Declare a gauge."""
         return self._declare(Gauge(name=name, description=description, read=read))
 
+    def gauges(
+        self,
+        name: str,
+        description: str,
+        labels: tuple[str, ...],
+        read: Callable[[], dict[tuple[str, ...], float]],
+    ) -> Gauges:
+        """Declare a gauge with labels."""
+        return self._declare(Gauges(name=name, description=description, labels=labels, read=read))
+
     def to_json(self) -> dict[str, Any]:
         """Return all metrics as one JSON object."""
         return {
--- a/packages/daemon/src/tanagerreachd/gateway/__init__.py
+++ b/packages/daemon/src/tanagerreachd/gateway/__init__.py
@@ -12,9 +12,13 @@
     Member,
     OperatorState,
     Platform,
+    RolloutState,
+    RolloutStatus,
     Source,
     SourceError,
+    StatusChangedError,
     StoredItem,
+    StoredRolloutStatus,
 )
 
 __all__ = [
@@ -29,7 +33,11 @@
     "OperatorState",
     "Platform",
     "RetryAllowance",
+    "RolloutState",
+    "RolloutStatus",
     "Source",
     "SourceError",
+    "StatusChangedError",
     "StoredItem",
+    "StoredRolloutStatus",
 ]
--- a/packages/daemon/src/tanagerreachd/gateway/_application.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_application.py
@@ -71,6 +71,7 @@
     :param resolver: returns the resolver of the configuration in force, ``None`` before there is
         one.
     :param limits: returns the caller limits in force.
+    :param is_rolled_out: returns whether a version of a service is to be rolled out.
     """
 
     def __init__(
@@ -86,7 +87,9 @@
         watch: CallerWatch,
         traffic: TrafficCounts,
         log: RequestLog,
+        is_rolled_out: Callable[[str], bool] = lambda service: False,
     ) -> None:
+        self._is_rolled_out = is_rolled_out
         self._traffic = traffic
         self._own_data_centre = own_data_centre
         self._dialect = dialect
@@ -372,6 +375,7 @@
             self._own_data_centre,
             _clock.now_s(),
             accepts_stale=accepts_stale,
+            names_route=self._is_rolled_out(request.service_name),
         )
 
     def _check_placement(self, request: GatewayRequest, placement: Placement) -> None:
--- a/packages/daemon/src/tanagerreachd/gateway/_home_server.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_home_server.py
@@ -19,6 +19,7 @@
     CrashStreaks,
     PeerTable,
     PlacementTarget,
+    RolloutFacts,
     ServicePlacement,
     TargetNotice,
     WorkspaceQuota,
@@ -31,6 +32,7 @@
 
 from .. import _clock
 from .._logs import InstanceLog
+from ._rollout_controller import RolloutController
 from ._target_directory import KnownTarget, TargetDirectory
 
 MS_PER_S = 1000.0
@@ -71,6 +73,7 @@
     :param list_age_ms: age of the directory, for logs.
     :param floor_share: minimum share of a service's targets to keep in use, from 0 to 1.
     :param crashes: requests that may crash targets, as this instance knows them.
+    :param rollouts: roll-outs of services' versions, ``None`` when versions are not distinguished.
     """
 
     def __init__(
@@ -86,7 +89,9 @@
         heartbeat_s: float,
         crashes: CrashStreaks,
         log: InstanceLog,
+        rollouts: RolloutController | None = None,
     ) -> None:
+        self._rollouts = rollouts
         self._crashes = crashes
         self._resolver = resolver
         self._peer_table = peer_table
@@ -245,6 +250,18 @@
             service.configure(self._targets(name, now_s), now_s)
             self._dispatch_waiting(name, service, now_s)
 
+    def select_versions(self, name: str) -> None:
+        """Use the targets of the versions of a service that may get requests now."""
+        service = self._services.get(name)
+        if service is not None:
+            service.select_versions()
+            self._dispatch_waiting(name, service, _clock.now_s())
+
+    def rollout_facts(self, name: str) -> RolloutFacts | None:
+        """Return the state of a service for its roll-out, ``None`` if it is not placed here."""
+        service = self._services.get(name)
+        return None if service is None else service.rollout_facts(_clock.now_s())
+
     def run(self) -> None:
         """Dispatch queued requests once, then wait for the next interval."""
         now_s = _clock.now_s()
@@ -310,6 +327,10 @@
         if service is None:
             service = self._add_service(placement_request.service, now_s)
         self._last_request_s[placement_request.service] = now_s
+        if self._rollouts is not None:
+            self._rollouts.record_use(
+                placement_request.service, is_home=not placement_request.is_decided_alone
+            )
         key = (requester, placement_request.call_id)
         work = self._work.setdefault(placement_request.service, _Work())
         work.request_count += 1
@@ -334,7 +355,9 @@
 
     def _add_service(self, name: str, now_s: float) -> ServicePlacement:
         service = self._services[name] = ServicePlacement(
-            floor_share=self._floor_share, crashes=self._crashes
+            floor_share=self._floor_share,
+            crashes=self._crashes,
+            versions=None if self._rollouts is None else self._rollouts.versions_of(name),
         )
         self._waiting[name] = {}
         self._set_shares(name, service, now_s)
@@ -380,6 +403,7 @@
                 cold_rate_per_s=cold_rate_per_s,
                 started_ms=known.target.started_ms,
                 is_listed=known.is_listed,
+                software_version=known.target.software_version,
             )
             for known in self._directory.of_service(service)
             if known.target.data_centre not in self._out_data_centres
--- a/packages/daemon/src/tanagerreachd/gateway/_instance.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_instance.py
@@ -23,6 +23,8 @@
     QuotaReply,
     QuotaRequest,
     RefusalNotice,
+    RolloutProgress,
+    RoutedPlacementRequest,
 )
 from tanagerreach_core.placement import TICK_S, CrashStreaks, PeerChange, PeerTable
 from tanagerreach_core.rights import service_rendezvous_key
@@ -55,6 +57,7 @@
 from ._placement_client import PlacementClient
 from ._request_log import RequestLog
 from ._retry_budgets import RetryBudgets
+from ._rollout_controller import RolloutController
 from ._settings import GatewaySettings
 from ._sources import CallerLimits, OperatorState, Platform
 from ._target_directory import TargetDirectory
@@ -204,6 +207,14 @@
 
     def _build_homes(self) -> None:
         self._crashes = CrashStreaks(own_name=self._settings.instance_name)
+        self._rollouts = RolloutController(
+            platform=self._platform,
+            limits=self._settings.rollout_limits,
+            on_change=lambda service: self._homes.select_versions(service),
+            facts_of=lambda service: self._homes.rollout_facts(service),
+            metrics=self._metrics,
+            log=self._log,
+        )
         self._homes = HomeServer(
             resolver=lambda: self._resolver,
             peer_table=self._peer_table,
@@ -215,6 +226,7 @@
             heartbeat_s=self._settings.target_heartbeat_s,
             crashes=self._crashes,
             log=self._log,
+            rollouts=self._rollouts,
         )
         self._retry_budgets = RetryBudgets(
             allowance=self._settings.retry_allowance,
@@ -250,6 +262,7 @@
             watch=self._watch,
             traffic=self._traffic,
             log=RequestLog(log=self._log, metrics=self._metrics),
+            is_rolled_out=self._rollouts.is_ordered,
         )
         self._callers = CallerServer(
             listener=(settings.callers_address.host, settings.callers_address.port),
@@ -301,6 +314,8 @@
         self._loops.start(self._operators.run_watch)
         self._loops.start(self._targets.run)
         self._loops.start(self._homes.run)
+        if settings.rollout_limits is not None:
+            self._loops.start(self._rollouts.run)
         self._loops.start(self._homes.report_load, LOAD_REPORT_INTERVAL_S)
         self._loops.start(self._traffic.report, TRAFFIC_REPORT_INTERVAL_S)
         self._loops.start(self._membership.run_heartbeat)
@@ -355,9 +370,9 @@
         return [f"{host}:{self._settings.peer_http_port}" for host in hosts if host != own]
 
     def _send_digests(self) -> None:
-        """Send the failure digest of each service homed here to the service's next home."""
+        """Send what the next home of each service homed here needs to take over."""
         now_s = _clock.now_s()
-        for digest in self._homes.digests(now_s):
+        for digest in [*self._homes.digests(now_s), *self._rollouts.progress(now_s)]:
             homes = self._peer_table.homes(service_rendezvous_key(digest.service), now_s)
             next_home = next((home for home in homes if home is not None), None)
             if next_home is not None:
@@ -393,6 +408,9 @@
             PlacementRequest: lambda name, address, message: homes.place(
                 name, message, lambda reply: send(address, reply)
             ),
+            RoutedPlacementRequest: lambda name, address, message: homes.place(
+                name, message, lambda reply: send(address, reply)
+            ),
             PlacementReply: self._on_placement_reply,
             PlacementCompletion: self._on_placement_completion,
             CompletionAck: lambda _name, _, message: calls.record_ack(message.call_id),
@@ -400,6 +418,7 @@
             QuotaReply: lambda _name, _, message: calls.deliver(message),
             RefusalNotice: lambda _name, _, message: homes.record_refusal(message.service),
             FailureDigest: lambda _name, _, message: homes.adopt_digest(message),
+            RolloutProgress: lambda _name, _, message: self._rollouts.adopt(message),
         }
 
     def _on_placement_reply(self, _name: str, address: str, message: PlacementReply) -> None:
@@ -442,6 +461,9 @@
         )
         self._callers.limits = _http_limits(self._limits)
         self._peer_table.own_is_home = not self._is_leaving
+        self._rollouts.apply_orders(
+            order for order in state.rollouts if order.service in state.configuration.services
+        )
         self._homes.apply_configuration(state.configuration)
         self._retry_budgets.drop_all_except(state.configuration.services)
         self._log.info(
--- a/packages/daemon/src/tanagerreachd/gateway/_request.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_request.py
@@ -2,10 +2,11 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
 from tanagerreach_core.config import RouteMatch, Workspace
-from tanagerreach_core.messages import PlacementRequest
+from tanagerreach_core.messages import PlacementRequest, RoutedPlacementRequest
 from tanagerreach_core.traffic import Executed, Outcome, Try, executed, fingerprint
 
 from .._caller_body import CallerBody
@@ -126,9 +127,18 @@
         now_s: float,
         *,
         accepts_stale: bool,
+        names_route: bool = False,
     ) -> PlacementRequest:
-        """Build the placement request."""
-        return PlacementRequest(
+        """Build the placement request.
+
+        :param names_route: whether the home is to know the request's route.
+        """
+        build = (
+            partial(RoutedPlacementRequest, route=self.match.route.name)
+            if names_route
+            else PlacementRequest
+        )
+        return build(
             call_id=call_id,
             service=self.service_name,
             workspace=self.workspace_name,
--- a/packages/daemon/src/tanagerreachd/gateway/_settings.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_settings.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from tanagerreach_core.placement import RolloutLimits
+
 from .._option_kinds import Address
 from ._retry_budgets import RetryAllowance
 
@@ -15,6 +17,8 @@
     :param peer_seed_hosts: hosts of some instances, which may be down.
     :param floor_share: minimum share of a service's targets to keep in use while requests fail.
     :param stop_limit_s: time from SIGTERM until the process is killed.
+    :param rollout_limits: bounds on the exposure of a version that is rolled out, ``None`` where
+        versions of targets are not distinguished.
     """
 
     instance_name: str
@@ -32,3 +36,4 @@
     floor_share: float
     stop_limit_s: float
     log_level: str = "info"
+    rollout_limits: RolloutLimits | None = None
--- a/packages/daemon/src/tanagerreachd/gateway/_sources.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_sources.py
@@ -3,8 +3,10 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 
 from tanagerreach_core.config import Configuration
+from tanagerreach_core.placement import RolloutOrder
 
 
 class SourceError(Exception):
@@ -22,6 +24,10 @@
     """The store no longer has the requested changes; read all items again."""
 
 
+class StatusChangedError(SourceError):
+    """A status was not written, since another instance wrote it; read it and decide anew."""
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class CallerLimits:
     """Size and time limits for callers."""
@@ -37,11 +43,41 @@
     """Operator input: the configuration, including the data centres out of service.
 
     :param version: the store revision of its newest item.
+    :param rollouts: orders to move services to other versions.
     """
 
     version: int
     configuration: Configuration
     caller_limits: CallerLimits
+    rollouts: tuple[RolloutOrder, ...] = ()
+
+
+class RolloutState(Enum):
+    """State of a roll-out, as operators see it."""
+
+    RUNNING = "running"
+    COMPLETED = "completed"
+    ROLLED_BACK = "rolled back"
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class RolloutStatus:
+    """Status of a service's roll-out."""
+
+    state: RolloutState
+    to_version: str
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class StoredRolloutStatus:
+    """Status of a service's roll-out in the store.
+
+    :param status: the status, ``None`` when there is none that can be read.
+    :param revision: its revision, 0 when there is none.
+    """
+
+    status: RolloutStatus | None
+    revision: int
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -52,6 +88,7 @@
     :param started_ms: start time by its own clock, 0 when not given; distinguishes runs of targets
         of the same name.
     :param sequence: rises with each entry that one run writes.
+    :param software_version: version of its software, empty when not given.
     """
 
     name: str
@@ -63,6 +100,7 @@
     cold_left_s: float
     started_ms: int
     sequence: int
+    software_version: str = ""
 
     def is_older_than(self, other: "ListedTarget") -> bool:
         """Return whether this entry is older than another one of the same name."""
@@ -147,6 +185,25 @@
     def decode_target(self, item: StoredItem) -> ListedTarget | None:
         """Decode a target's entry; ``None`` when it describes no usable target."""
 
+    @abstractmethod
+    def rollout_status(self, service: str) -> StoredRolloutStatus:
+        """Return the status of a service's roll-out.
+
+        :raises SourceError: when there is no usable response.
+        """
+
+    @abstractmethod
+    def write_rollout_status(
+        self, service: str, status: RolloutStatus, *, expected_revision: int
+    ) -> int:
+        """Write the status of a service's roll-out, if it was not changed meanwhile.
+
+        :param expected_revision: revision of the present status, 0 when there is none.
+        :returns: the revision of the new status.
+        :raises StatusChangedError: when another instance wrote the status.
+        :raises SourceError: when the store did not confirm it; it may be written nevertheless.
+        """
+
     @abstractmethod
     def register(self, name: str, member: Member) -> None:
         """Register this instance in the store, or renew its registration.
