--- a/packages/core/src/tanagerreach_core/_messages.py
+++ b/packages/core/src/tanagerreach_core/_messages.py
@@ -22,6 +22,7 @@
     QuotaReturn,
     RefusalNotice,
 )
+from ._rollout_messages import RolloutProgress, RoutedPlacementRequest
 from ._slots import SlotSet
 
 
@@ -279,6 +280,8 @@
     | PeerNews
     | FailureDigest
     | RefusalNotice
+    | RoutedPlacementRequest
+    | RolloutProgress
 )
 
 
--- a/packages/core/src/tanagerreach_core/messages.py
+++ b/packages/core/src/tanagerreach_core/messages.py
@@ -42,6 +42,7 @@
     RefusalCause,
     RefusalNotice,
 )
+from ._rollout_messages import RolloutProgress, RoutedPlacementRequest
 from ._slots import SlotSet
 
 __all__ = [
@@ -76,6 +77,8 @@
     "RefusalNotice",
     "ServiceReply",
     "ServiceReport",
+    "RolloutProgress",
+    "RoutedPlacementRequest",
     "SlotSet",
     "TargetReport",
     "TargetState",
--- a/packages/core/src/tanagerreach_core/placement.py
+++ b/packages/core/src/tanagerreach_core/placement.py
@@ -9,15 +9,26 @@
 from ._placement import PlacementEvent, ServicePlacement, awaits_retry, may_retry
 from ._placement_messages import NO_NOTICE, TargetNotice
 from ._quota_grants import QuotaGrants
+from ._rollout import (
+    Rollout,
+    RolloutFacts,
+    RolloutLimits,
+    RolloutOrder,
+    RolloutStage,
+    StageChange,
+)
+from ._service_versions import ServiceVersions
 from ._start_time_fair_queue import StartTimeFairQueue, WaitingRequest
 from ._target_notices import TargetNotices
 from ._target_state import PlacementTarget
+from ._version_comparison import Assessment, Side
 from ._work_class import path_shape, services_placed_by_cost, work_class
 from ._workspace_quota import WorkspaceQuota
 
 __all__ = [
     "NO_NOTICE",
     "TICK_S",
+    "Assessment",
     "CrashStreaks",
     "FailureEstimator",
     "FleetNews",
@@ -30,7 +41,15 @@
     "PlacementEvent",
     "PlacementTarget",
     "RetryBudgetUse",
+    "Rollout",
+    "RolloutFacts",
+    "RolloutLimits",
+    "RolloutOrder",
+    "RolloutStage",
     "ServicePlacement",
+    "ServiceVersions",
+    "Side",
+    "StageChange",
     "StartTimeFairQueue",
     "TargetNotice",
     "TargetNotices",
--- a/packages/daemon/src/tanagerreachd/gateway/__init__.py
+++ b/packages/daemon/src/tanagerreachd/gateway/__init__.py
@@ -12,9 +12,13 @@
     Member,
     OperatorState,
     Platform,
+    RolloutState,
+    RolloutStatus,
     Source,
     SourceError,
+    StatusChangedError,
     StoredItem,
+    StoredRolloutStatus,
     StoreEraError,
 )
 from ._store_position import ERA_MAX, REVISION_MAX, era_of, revision_of, store_position
@@ -33,6 +37,8 @@
     "Platform",
     "REVISION_MAX",
     "RetryAllowance",
+    "RolloutState",
+    "RolloutStatus",
     "Source",
     "SourceError",
     "StoreEraError",
@@ -40,4 +46,7 @@
     "era_of",
     "revision_of",
     "store_position",
+    "StatusChangedError",
+    "StoredItem",
+    "StoredRolloutStatus",
 ]
--- a/packages/daemon/src/tanagerreachd/gateway/_application.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_application.py
@@ -72,6 +72,7 @@
         one.
     :param limits: returns the caller limits in force.
     :param places_by_cost: whether a service's requests are placed by their expected cost.
+    :param is_rolled_out: returns whether a version of a service is to be rolled out.
     """
 
     def __init__(
@@ -88,8 +89,10 @@
         traffic: TrafficCounts,
         log: RequestLog,
         places_by_cost: Callable[[str], bool] = lambda service: False,
+        is_rolled_out: Callable[[str], bool] = lambda service: False,
     ) -> None:
         self._places_by_cost = places_by_cost
+        self._is_rolled_out = is_rolled_out
         self._traffic = traffic
         self._own_data_centre = own_data_centre
         self._dialect = dialect
@@ -396,6 +399,7 @@
             _clock.now_s(),
             accepts_stale=accepts_stale,
             tells_work=self._places_by_cost(request.service_name),
+            names_route=self._is_rolled_out(request.service_name),
         )
 
     def _check_placement(self, request: GatewayRequest, placement: Placement) -> None:
--- a/packages/daemon/src/tanagerreachd/gateway/_home_server.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_home_server.py
@@ -21,6 +21,7 @@
     PeerTable,
     PlacementTarget,
     QuotaGrants,
+    RolloutFacts,
     ServicePlacement,
     TargetNotice,
     WorkspaceQuota,
@@ -33,6 +34,7 @@
 
 from .. import _clock
 from .._logs import InstanceLog
+from ._rollout_controller import RolloutController
 from ._target_directory import KnownTarget, TargetDirectory
 
 MS_PER_S = 1000.0
@@ -74,6 +76,7 @@
     :param floor_share: minimum share of a service's targets to keep in use, from 0 to 1.
     :param crashes: requests that may crash targets, as this instance knows them.
     :param places_by_cost: whether a service's requests are placed by their expected cost.
+    :param rollouts: roll-outs of services' versions, ``None`` when versions are not distinguished.
     """
 
     def __init__(
@@ -90,8 +93,10 @@
         crashes: CrashStreaks,
         log: InstanceLog,
         places_by_cost: Callable[[str], bool] = lambda service: False,
+        rollouts: RolloutController | None = None,
     ) -> None:
         self._places_by_cost = places_by_cost
+        self._rollouts = rollouts
         self._crashes = crashes
         self._resolver = resolver
         self._peer_table = peer_table
@@ -269,6 +274,18 @@
             service.configure(self._targets(name, now_s), now_s)
             self._dispatch_waiting(name, service, now_s)
 
+    def select_versions(self, name: str) -> None:
+        """Use the targets of the versions of a service that may get requests now."""
+        service = self._services.get(name)
+        if service is not None:
+            service.select_versions()
+            self._dispatch_waiting(name, service, _clock.now_s())
+
+    def rollout_facts(self, name: str) -> RolloutFacts | None:
+        """Return the state of a service for its roll-out, ``None`` if it is not placed here."""
+        service = self._services.get(name)
+        return None if service is None else service.rollout_facts(_clock.now_s())
+
     def run(self) -> None:
         """Dispatch queued requests once, then wait for the next interval."""
         now_s = _clock.now_s()
@@ -336,6 +353,10 @@
         if service is None:
             service = self._add_service(placement_request.service, now_s)
         self._last_request_s[placement_request.service] = now_s
+        if self._rollouts is not None:
+            self._rollouts.record_use(
+                placement_request.service, is_home=not placement_request.is_decided_alone
+            )
         key = (requester, placement_request.call_id)
         work = self._work.setdefault(placement_request.service, _Work())
         work.request_count += 1
@@ -360,7 +381,9 @@
 
     def _add_service(self, name: str, now_s: float) -> ServicePlacement:
         service = self._services[name] = ServicePlacement(
-            floor_share=self._floor_share, crashes=self._crashes
+            floor_share=self._floor_share,
+            crashes=self._crashes,
+            versions=None if self._rollouts is None else self._rollouts.versions_of(name),
         )
         self._waiting[name] = {}
         self._set_shares(name, service, now_s)
@@ -408,6 +431,7 @@
                 cold_rate_per_s=cold_rate_per_s,
                 started_ms=known.target.started_ms,
                 is_listed=known.is_listed,
+                software_version=known.target.software_version,
             )
             for known in self._directory.of_service(service)
             if known.target.data_centre not in self._out_data_centres
--- a/packages/daemon/src/tanagerreachd/gateway/_request.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_request.py
@@ -2,10 +2,11 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
 from tanagerreach_core.config import RouteMatch, Workspace
-from tanagerreach_core.messages import PlacementRequest
+from tanagerreach_core.messages import PlacementRequest, RoutedPlacementRequest
 from tanagerreach_core.placement import path_shape, work_class
 from tanagerreach_core.traffic import Executed, Outcome, Try, executed, fingerprint
 
@@ -131,12 +132,19 @@
         *,
         accepts_stale: bool,
         tells_work: bool = False,
+        names_route: bool = False,
     ) -> PlacementRequest:
         """Build the placement request.
 
         :param tells_work: whether the home places requests by their expected cost.
+        :param names_route: whether the home is to know the request's route.
         """
-        return PlacementRequest(
+        build = (
+            partial(RoutedPlacementRequest, route=self.match.route.name)
+            if names_route
+            else PlacementRequest
+        )
+        return build(
             call_id=call_id,
             service=self.service_name,
             workspace=self.workspace_name,
--- a/packages/daemon/src/tanagerreachd/gateway/_settings.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_settings.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from tanagerreach_core.placement import RolloutLimits
+
 from .._option_kinds import Address
 from ._retry_budgets import RetryAllowance
 
@@ -17,6 +19,8 @@
     :param stop_limit_s: time from SIGTERM until the process is killed.
     :param places_by_cost: whether requests are placed by their expected cost, for the services
         whose configuration calls for it; the same on all machines.
+    :param rollout_limits: bounds on the exposure of a version that is rolled out, ``None`` where
+        versions of targets are not distinguished.
     """
 
     instance_name: str
@@ -35,3 +39,4 @@
     stop_limit_s: float
     log_level: str = "info"
     places_by_cost: bool = True
+    rollout_limits: RolloutLimits | None = None
