--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -33,6 +33,8 @@
 PROCESS_TEST_DIRECTORY = "tests"
 PROCESS_TEST_WORKERS = 2
 UNIT_TEST_WORKERS = 5
+# Modules that bound what a process under attack uses; each runs alone, one module at a time.
+SOLO_MODULES = ("test_caller_crowds",)
 # The slowest modules start first, so that the run doesn't end with one of them and idle workers.
 LONG_MODULES = (
     "test_planned_faults",
@@ -131,12 +133,16 @@
 
 
 def run_all(directories: list[str]) -> list[DirectoryResult]:
-    """Run the unit tests, then the process tests, each in parallel."""
+    """Run the unit tests, then the process tests, each in parallel, then the solo modules."""
     unit = [name for name in directories if name != PROCESS_TEST_DIRECTORY]
-    results = run_modules(list_modules(unit), UNIT_TEST_WORKERS)
+    modules = list_modules(unit)
+    solo = [entry for entry in modules if entry[1] in SOLO_MODULES]
+    results = run_modules(
+        [entry for entry in modules if entry[1] not in SOLO_MODULES], UNIT_TEST_WORKERS
+    )
     if PROCESS_TEST_DIRECTORY in directories:
         results += run_modules(list_modules([PROCESS_TEST_DIRECTORY]), PROCESS_TEST_WORKERS)
-    return results
+    return results + run_modules(solo, 1)
 
 
 def report_results(results: list[DirectoryResult], is_full_run: bool) -> int:
