Bound what callers' connections hold together

120 callers that send bodies short of their end, or do not read their responses, ended a process on a small machine, and chunks of one byte or requests sent ahead to the ready port kept it from answering anyone. Nothing bounded the sum over connections, and input that has arrived is read without a switch of greenlets.

Each connection now takes room for itself, its requests, their bodies and their responses from a budget of the instance (a quarter of the machine's memory, half of its sockets, from the settings' limits.memoryMb and limits.maxFds). When it is short, the connections whose callers are slowest per byte held are closed, or the requester is refused: 503 with Retry-After, or 408 for a head, always before the request went to a target. A connection that keeps the process busy joins a line in which one runs in each round of the event loop. The ready, metrics and state ports use the same server with small budgets of their own. The first part of a body is read in pieces of 64 KiB, each of which has the time limit that the whole part had.

test_peer_state builds its server with the new argument; its checks are unchanged.

--- a/packages/daemon/src/tanagerreachd/_caller_body.py
+++ b/packages/daemon/src/tanagerreachd/_caller_body.py
@@ -13,12 +13,16 @@
 
 import gevent
 
+from ._caller_connections import RequestRoom
 from ._refusals import Executed, RefusalError
 
 # Bodies up to this size are read before a target is selected: a slow caller then occupies no
 # target, the request can be retried, and its fingerprint covers the whole body.
 BUFFERED_BODY_BYTES = 64 * 1024
 READ_CHUNK_BYTES = 64 * 1024
+# Held while a body is passed on: the current part, and what the kernel has received of the next.
+PASSED_ON_BYTES = 2 * READ_CHUNK_BYTES
+NO_ROOM_RETRY_AFTER_S = 1.0
 
 
 class CallerBodyError(Exception):
@@ -38,6 +42,7 @@
     :param limit_bytes: maximum size.
     :param part_time_limit_s: timeout for each part of 64 KiB.
     :param buffered_bytes: maximum size of a body that is buffered before it is sent to a target.
+    :param room: what the request holds, ``None`` without bounds.
     """
 
     __slots__ = (
@@ -47,6 +52,7 @@
         "_is_interrupted",
         "_limit_bytes",
         "_part_time_limit_s",
+        "_room",
         "_stream",
         "buffered",
         "content_length",
@@ -62,9 +68,11 @@
         limit_bytes: int,
         part_time_limit_s: float,
         buffered_bytes: int = BUFFERED_BODY_BYTES,
+        room: RequestRoom | None = None,
     ) -> None:
         self._stream = stream
         self._buffered_bytes = buffered_bytes
+        self._room = room
         self._chunked = chunked
         self._limit_bytes = limit_bytes
         self._part_time_limit_s = part_time_limit_s
@@ -87,22 +95,23 @@
         """Read the first part, and set ``buffered`` if it is the whole body.
 
         :raises CallerBodyError: when the body ends early, stalls or is malformed.
-        :raises RefusalError: when a chunked body exceeds the limit.
+        :raises RefusalError: when a chunked body exceeds the limit, or there is no room for it.
         """
         if not self._chunked and not self.content_length:
             self.buffered = b""
             return
         if self._chunked:
             # One byte more shows whether the body is longer than the first part.
-            part = self._read(self._buffered_bytes + 1)
+            part = self._read_buffered(self._buffered_bytes + 1)
             is_whole = len(part) <= self._buffered_bytes
         else:
-            part = self._read(min(self._buffered_bytes, self.content_length))
+            part = self._read_buffered(min(self._buffered_bytes, self.content_length))
             is_whole = len(part) == self.content_length
         if is_whole:
             self.buffered = part
         else:
             self._first_part = part
+            self._take_room(PASSED_ON_BYTES)
 
     @property
     def replayable(self) -> bool:
@@ -135,7 +144,40 @@
         while part := self._read(READ_CHUNK_BYTES):
             yield part
 
+    def _read_buffered(self, size_bytes: int) -> bytes:
+        """Read the first part, as far as there is room for it."""
+        pieces = []
+        left = size_bytes
+        while left > 0:
+            wanted = min(READ_CHUNK_BYTES, left)
+            self._take_room(wanted)
+            try:
+                piece = self._read(wanted)
+            except CallerBodyError as error:
+                if self._room is not None and self._room.is_evicted:
+                    raise self._no_room() from error
+                raise
+            pieces.append(piece)
+            left -= len(piece)
+            if len(piece) < wanted:
+                if self._room is not None:
+                    self._room.give_back(wanted - len(piece))
+                break
+        return pieces[0] if len(pieces) == 1 else b"".join(pieces)
+
+    def _take_room(self, size_bytes: int) -> None:
+        if self._room is not None and not self._room.take(size_bytes):
+            raise self._no_room()
+
     def _read(self, size_bytes: int) -> bytes:
+        if self._room is None:
+            return self._read_in_time(size_bytes)
+        with self._room.reading():
+            data = self._read_in_time(size_bytes)
+        self._room.record_progress(len(data))
+        return data
+
+    def _read_in_time(self, size_bytes: int) -> bytes:
         timer = gevent.Timeout.start_new(self._part_time_limit_s)
         self._is_interrupted = True
         try:
@@ -167,6 +209,15 @@
             f" {READ_CHUNK_BYTES} bytes in {self._part_time_limit_s:g} s"
         )
 
+    @staticmethod
+    def _no_room() -> RefusalError:
+        return RefusalError(
+            status=HTTPStatus.SERVICE_UNAVAILABLE,
+            kind="no-room-for-body",
+            detail="the instance has no room for the request's body; try again later",
+            retry_after_s=NO_ROOM_RETRY_AFTER_S,
+        )
+
     def _too_large(self) -> RefusalError:
         return RefusalError(
             status=HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
--- a/packages/daemon/src/tanagerreachd/_http_head.py
+++ b/packages/daemon/src/tanagerreachd/_http_head.py
@@ -16,12 +16,14 @@
 
     :param status: status code and reason phrase, such as ``400 Bad Request``.
     :param detail: description of the error and of what is allowed.
+    :param retry_after_s: time after which the caller may retry, or None.
     """
 
-    def __init__(self, status: str, detail: str) -> None:
+    def __init__(self, status: str, detail: str, retry_after_s: float | None = None) -> None:
         super().__init__(detail)
         self.status = status
         self.detail = detail
+        self.retry_after_s = retry_after_s
 
 
 class HeaderFields:
--- a/packages/daemon/src/tanagerreachd/_http_server.py
+++ b/packages/daemon/src/tanagerreachd/_http_server.py
@@ -20,6 +20,7 @@
 from gevent.pywsgi import Input, WSGIHandler, WSGIServer, format_date_time
 
 from . import _clock
+from ._caller_connections import CallerConnection, CallerConnections, RequestRoom
 from ._caller_watch import CallerDisconnectedError
 from ._http_head import (
     HeaderFields,
@@ -30,6 +31,7 @@
 )
 from ._lingering_close import LINGER_S, discard_input, stop_sending
 from ._sockets import peek_input, send_all
+from ._turns import Turns
 from ._upstream_errors import IncompleteResponseError
 
 MAX_REQUEST_LINE_BYTES = 8 * 1024
@@ -41,6 +43,16 @@
 READ_CHUNK_BYTES = 16 * 1024
 MAX_JOINED_PART_BYTES = 16 * 1024
 STOP_POLL_S = 0.02
+# A connection lets others run after it has read this many chunks, or this much of a body.
+CHUNKS_PER_TURN = 64
+BYTES_PER_TURN = 256 * 1024
+# Connections that are accepted between two rounds of the event loop.
+MAX_ACCEPTED_AT_ONCE = 16
+# Connections in excess are closed at the end of their responses without waiting for their callers.
+MAX_LINGERING = 64
+# Bounds what the kernel holds of input that is not read yet.
+RECEIVE_BUFFER_BYTES = 64 * 1024
+NO_ROOM_RETRY_AFTER_S = 1.0
 
 # The parser that http.client.parse_headers uses, but without parsing a message body, which makes it
 # faster.
@@ -100,21 +112,33 @@
     malformed or stalled, was not read completely, or its caller waits for ``100 Continue``.
     """
 
-    __slots__ = ("abandoned",)
+    __slots__ = ("_turn_share", "_turns", "abandoned")
 
-    def __init__(self, *arguments: Any, **named: Any) -> None:
+    def __init__(self, *arguments: Any, turns: Turns, **named: Any) -> None:
         super().__init__(*arguments, **named)
         self.abandoned = False
+        self._turns = turns
+        self._turn_share = 0.0
 
     def read(self, length: int | None = None) -> bytes:
         """Read a part of the body."""
         try:
-            return super().read(length)
+            data = super().read(length)
+            self._use_turn(len(data) / BYTES_PER_TURN)
         except BaseException:
             self.abandoned = True
             raise
+        return data
+
+    def _use_turn(self, share: float) -> None:
+        """Let others run after a while, as input that has arrived is read without a switch."""
+        self._turn_share += share
+        if self._turn_share >= 1.0:
+            self._turn_share = 0.0
+            self._turns.wait()
 
     def _Input__read_chunk_length(self, rfile: Any) -> int:  # noqa: N802 (pywsgi's own method)
+        self._use_turn(1 / CHUNKS_PER_TURN)
         return super()._Input__read_chunk_length(_ChunkLineReader(rfile))
 
     @property
@@ -174,6 +198,10 @@
     server: "CallerServer"
     head_timer: gevent.Timeout | None = None
     is_active = False
+    requires_host = True
+    connection: CallerConnection
+    # What the current request holds.
+    room: RequestRoom
 
     def __init__(self, *arguments: Any, **named: Any) -> None:
         super().__init__(*arguments, **named)
@@ -184,14 +212,28 @@
         connection, rfile = self.socket, self.rfile
         try:
             self._handle_requests()
-            self.end_connection()
-            discard_input(connection)
+            self._linger()
         finally:
             self._close(connection, rfile)
 
+    def attach(self, connection: CallerConnection) -> None:
+        """Set the connection whose room the requests use."""
+        self.connection = connection
+        self.room = RequestRoom(connection)
+
+    def _linger(self) -> None:
+        """End the connection, and wait for the caller to close it unless many others wait."""
+        self.end_connection()
+        is_short = len(self.server.ending_connections) > MAX_LINGERING
+        if not (is_short or self.connection.is_evicted):
+            discard_input(self.socket)
+
     def _handle_requests(self) -> None:
         while (result := self.handle_one_request()) is True:
             pass
+        self._send_result(result)
+
+    def _send_result(self, result: tuple[str, bytes] | None) -> None:
         if result is not None:
             with contextlib.suppress(OSError):
                 self.socket.sendall(result[1])
@@ -236,10 +278,15 @@
         finally:
             self._stop_head_timer()
             self.server.idle_handlers.discard(self)
+            self._release_room()
             if self.is_active:
                 self.is_active = False
                 self.server.active_count -= 1
 
+    def _release_room(self) -> None:
+        """Return what the request holds, unless it is still handled."""
+        self.room.release()
+
     def mark_idle(self) -> None:
         """Register the connection as one that may be closed without interrupting a request."""
         self.server.idle_handlers.add(self)
@@ -256,6 +303,12 @@
         self.server.idle_handlers.discard(self)
         self.is_active = True
         self.server.active_count += 1
+        if not self.room.begin():
+            raise RequestRefusedError(
+                "503 Service Unavailable",
+                "the instance has no room for the request; try again later",
+                NO_ROOM_RETRY_AFTER_S,
+            )
         if b"\r\n\r\n" not in received:
             self._start_head_timer()
         line = self.rfile.readline(MAX_REQUEST_LINE_BYTES)
@@ -294,7 +347,7 @@
             raise RequestRefusedError(
                 "400 Bad Request", "the request target has to be a path that starts with /"
             )
-        if self.request_version == "HTTP/1.1" and "Host" not in self.headers:
+        if self.requires_host and self.request_version == "HTTP/1.1" and "Host" not in self.headers:
             raise RequestRefusedError("400 Bad Request", "an HTTP/1.1 request needs a Host header")
         connection = self.headers.get("connection")
         if connection and "close" in connection.lower().replace(" ", "").split(","):
@@ -314,6 +367,10 @@
                     "431 Request Header Fields Too Large",
                     f"send at most {limit_bytes} bytes and {MAX_HEADER_COUNT} header lines",
                 )
+            if not line.endswith(b"\n") and self.connection.is_evicted:
+                raise RequestRefusedError(
+                    "408 Request Timeout", "the request head arrived too slowly"
+                )
             if not line.endswith(b"\n"):
                 raise RequestRefusedError("400 Bad Request", "the request head is cut short")
             lines.append(line)
@@ -333,12 +390,14 @@
         environ["tanagerreach.raw_target"] = self.path
         environ["tanagerreach.socket"] = self.socket
         environ["tanagerreach.handler"] = self
+        environ["tanagerreach.room"] = self.room
         given = self.wsgi_input or environ["wsgi.input"]
         bounded = BoundedInput(
             given.rfile,
             given.content_length,
             socket=given.socket,
             chunked_input=given.chunked_input,
+            turns=self.server.turns,
         )
         environ["wsgi.input"] = bounded
         self.wsgi_input = bounded
@@ -346,7 +405,12 @@
 
     def handle_one_response(self) -> None:
         """Run the application; close the connection if it cannot be reused."""
-        super().handle_one_response()
+        account = self.connection.account
+        account.serving_count += 1
+        try:
+            super().handle_one_response()
+        finally:
+            account.serving_count -= 1
         # A head that was sent before a drain began may have announced that the connection stays.
         if self.wsgi_input.ends_connection:
             self.close_connection = True
@@ -387,6 +451,15 @@
             head.append(data)
         self._sendall(b"".join(head))
 
+    def _sendall(self, data: bytes) -> None:
+        account = self.connection.account
+        account.is_sending = True
+        try:
+            super()._sendall(data)
+        finally:
+            account.is_sending = False
+        self.connection.record_progress(len(data))
+
     def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
         if not isinstance(ex, RequestRefusedError):
             ex = RequestRefusedError("400 Bad Request", "the request head is malformed")
@@ -426,8 +499,11 @@
     :param on_failure: called with each unexpected exception of the application.
     :param failure_response: complete response to a request whose application failed.
     :param handler_class: class of the connection handlers.
+    :param connections: the connections and what they may hold, by default without bounds.
     """
 
+    max_accept = MAX_ACCEPTED_AT_ONCE
+
     def __init__(
         self,
         *,
@@ -439,6 +515,7 @@
         on_failure: Callable[[BaseException], None],
         failure_response: bytes,
         handler_class: type[CallerHandler] = CallerHandler,
+        connections: CallerConnections | None = None,
     ) -> None:
         super().__init__(
             listener, application, log=None, error_log=None, handler_class=handler_class
@@ -448,6 +525,8 @@
         self.on_refused = on_refused
         self.on_failure = on_failure
         self.failure_response = failure_response
+        self.connections = connections or CallerConnections()
+        self.turns = Turns()
         self.draining = False
         self.idle_handlers: set[CallerHandler] = set()
         # A request counts from the first byte of its head to the last byte of its response.
@@ -455,6 +534,24 @@
         # Connections on which nothing more is sent, until they are closed.
         self.ending_connections: set[Any] = set()
 
+    def init_socket(self) -> None:
+        """Open the listener, whose connections have its receive buffer."""
+        super().init_socket()
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+
+    def handle(self, sock: Any, address: Any) -> None:
+        """Handle a connection, if there is room for it."""
+        connection = self.connections.open(sock)
+        if connection is None:
+            sock.close()
+            return
+        try:
+            handler = self.handler_class(sock, address, self)
+            handler.attach(connection)
+            handler.handle()
+        finally:
+            self.connections.close(connection)
+
     def begin_drain(self) -> None:
         """Start closing each connection after its current response."""
         self.draining = True
--- a/packages/daemon/src/tanagerreachd/_refusals.py
+++ b/packages/daemon/src/tanagerreachd/_refusals.py
@@ -91,7 +91,11 @@
 
 
 def render_minimal(
-    status_line: str, kind: str, detail: str, executed: Executed = Executed.NOT_RUN
+    status_line: str,
+    kind: str,
+    detail: str,
+    executed: Executed = Executed.NOT_RUN,
+    retry_after_s: float | None = None,
 ) -> bytes:
     """Return the complete response to a request that is refused outside the application."""
     code = int(status_line.split(" ", 1)[0])
@@ -104,11 +108,13 @@
             "executed": executed.value,
         }
     )
+    retry_after = "" if retry_after_s is None else f"Retry-After: {retry_after_s:g}\r\n"
     head = (
         f"HTTP/1.1 {status_line}\r\n"
         f"Content-Type: {PROBLEM_CONTENT_TYPE}\r\n"
         f"Content-Length: {len(body)}\r\n"
         f"{EXECUTED_HEADER}: {executed.value}\r\n"
+        f"{retry_after}"
         "Connection: close\r\n\r\n"
     )
     return head.encode("ascii") + body
--- a/packages/daemon/src/tanagerreachd/gateway/_application.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_application.py
@@ -22,6 +22,7 @@
 
 from .. import _clock
 from .._caller_body import CallerBody, CallerBodyError, body_refusal
+from .._caller_connections import RequestRoom
 from .._caller_watch import CallerDisconnectedError, CallerWatch
 from .._http_head import environ_key
 from .._proxy_refusals import starting
@@ -51,6 +52,9 @@
 # while the caller sends.
 BUFFERED_BODY_BYTES = 1024 * 1024
 BODY_PART_TIMEOUT_S = 5.0
+# Held while a response is passed on: its first part, the current one, and what the kernel has
+# received of the next.
+PASSED_ON_RESPONSE_BYTES = 192 * 1024
 # Time for the response to reach the caller before its deadline.
 RESPONSE_MARGIN_S = 0.03
 # A request that may not be retried reuses a connection only if that was idle for no longer; see
@@ -127,6 +131,7 @@
             took_s = _clock.now_s() - arrived_s
             self._log.caller_disconnected(request_id, took_s, broken_by=error.broken_by)
             raise
+        self._hold_response(environ["tanagerreach.room"], response)
         environ["tanagerreach.on_not_sent"] = partial(
             self._log.response_not_sent, request, response.status
         )
@@ -142,6 +147,20 @@
             )
         return [response.body] if response.body else []
 
+    @staticmethod
+    def _hold_response(room: RequestRoom, response: UpstreamResponse) -> None:
+        """Take room for a response until its caller has read it.
+
+        :raises CallerDisconnectedError: when the caller's connection has to give way.
+        """
+        if response.stream is None:
+            has_room = not response.body or room.take(len(response.body), is_due=True)
+        else:
+            has_room = room.take(PASSED_ON_RESPONSE_BYTES, descriptors=1, is_due=True)
+        if not has_room:
+            _close(response)
+            raise CallerDisconnectedError
+
     # Checks
 
     def _accept(self, environ: dict[str, Any], request_id: str, arrived_s: float) -> GatewayRequest:
@@ -164,6 +183,7 @@
             limit_bytes=limits.body_bytes,
             part_time_limit_s=BODY_PART_TIMEOUT_S,
             buffered_bytes=BUFFERED_BODY_BYTES,
+            room=environ["tanagerreach.room"],
         )
         body.check_announced_size()
         caller_deadline_s = arrived_s + caller_wait_s(environ.get(self._deadline_environ_key, ""))
--- a/packages/daemon/src/tanagerreachd/gateway/_instance.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_instance.py
@@ -8,7 +8,6 @@
 
 import gevent
 from gevent.event import Event
-from gevent.pywsgi import WSGIServer
 from tanagerreach_core.config import Resolver
 from tanagerreach_core.messages import (
     CompletionAck,
@@ -29,7 +28,7 @@
 
 from .. import _clock
 from .._caller_watch import CallerWatch
-from .._http_server import CallerServer, HttpLimits, NoDelayHandler
+from .._http_server import CallerServer, HttpLimits
 from .._listeners import binding
 from .._logs import InstanceLog
 from .._loops import Loops
@@ -40,6 +39,7 @@
 from .._timeline import HybridClock
 from .._upstream import UpstreamClient
 from ._application import GatewayApplication
+from ._caller_rooms import CallerRooms
 from ._dialect import Dialect
 from ._followers import OperatorStateFollower, TargetFollower
 from ._home_server import HomeServer
@@ -80,6 +80,7 @@
 SWEEP_INTERVAL_S = 2.0
 LOAD_REPORT_INTERVAL_S = 1.0
 TRAFFIC_REPORT_INTERVAL_S = 5.0
+CLOSES_REPORT_INTERVAL_S = 2.0
 DEFAULT_LIMITS = CallerLimits(
     header_bytes=16 * 1024, body_bytes=64 * 1024 * 1024, header_time_s=3.0, idle_time_s=15.0
 )
@@ -234,6 +235,13 @@
     def _build_listeners(self, dialect: Dialect) -> None:
         settings = self._settings
         self._watch = CallerWatch()
+        request_log = RequestLog(log=self._log, metrics=self._metrics)
+        self._rooms = CallerRooms(
+            memory_bytes=settings.memory_bytes,
+            max_sockets=settings.max_sockets,
+            metrics=self._metrics,
+            log=self._log,
+        )
         self._upstream = UpstreamClient(
             connect_timeout_s=CONNECT_TIMEOUT_S,
             idle_timeout_s=TARGET_IDLE_TIMEOUT_S,
@@ -249,27 +257,31 @@
             upstream=self._upstream,
             watch=self._watch,
             traffic=self._traffic,
-            log=RequestLog(log=self._log, metrics=self._metrics),
+            log=request_log,
         )
         self._callers = CallerServer(
             listener=(settings.callers_address.host, settings.callers_address.port),
             application=self._application,
             limits=_http_limits(DEFAULT_LIMITS),
             render_refusal=lambda error: render_minimal(
-                error.status, "request-not-valid", error.detail
-            ),
-            on_refused=lambda error: self._log.info(
-                "request refused", status=error.status, reason=error.detail
+                error.status,
+                "request-not-valid",
+                error.detail,
+                retry_after_s=error.retry_after_s,
             ),
+            on_refused=lambda error: request_log.head_refused(error.status, error.detail),
             on_failure=self._log.failure,
             failure_response=render_failure(),
             handler_class=PipelinedRequest,
+            connections=self._rooms.callers,
         )
-        self._ready_server = _auxiliary_server(
-            (settings.ready_address.host, settings.ready_address.port), self._serve_ready
+        self._ready_server = self._rooms.auxiliary_server(
+            "ready",
+            (settings.ready_address.host, settings.ready_address.port),
+            self._serve_ready,
         )
-        self._metrics_server = _auxiliary_server(
-            (settings.host, settings.metrics_port), self._serve_metrics
+        self._metrics_server = self._rooms.auxiliary_server(
+            "metrics", (settings.host, settings.metrics_port), self._serve_metrics
         )
         self._state_server = PeerStateServer(
             address=(settings.host, settings.peer_http_port),
@@ -277,6 +289,7 @@
                 OPERATOR_PATH: self._operators.listing,
                 TARGET_PATH: self._directory.listing,
             },
+            rooms=self._rooms,
         )
 
     # Start and stop
@@ -308,6 +321,7 @@
         self._loops.start(self._send_digests, DIGEST_INTERVAL_S)
         self._loops.start(self._watch.run)
         self._loops.start(self._sweep, SWEEP_INTERVAL_S)
+        self._loops.start(self._rooms.report, CLOSES_REPORT_INTERVAL_S)
         gevent.spawn(self._membership.register)
 
     def _stop(self) -> None:
@@ -494,10 +508,6 @@
         return [body]
 
 
-def _auxiliary_server(address: tuple[str, int], application: Any) -> WSGIServer:
-    return WSGIServer(address, application, log=None, error_log=None, handler_class=NoDelayHandler)
-
-
 def _http_limits(limits: CallerLimits) -> HttpLimits:
     return HttpLimits(
         header_bytes=limits.header_bytes,
--- a/packages/daemon/src/tanagerreachd/gateway/_peer_state.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_peer_state.py
@@ -10,10 +10,9 @@
 
 import msgspec
 import urllib3
-from gevent.pywsgi import WSGIServer
 
-from .._http_server import NoDelayHandler
 from .._logs import InstanceLog
+from ._caller_rooms import CallerRooms
 from ._sources import Listing, StoredItem
 
 OPERATOR_PATH = "/operator-items"
@@ -42,17 +41,20 @@
     """Serves this instance's listings to peers.
 
     :param listings: functions that return the known listings, by path.
+    :param rooms: bounds what the connections of peers hold.
     """
 
     def __init__(
-        self, *, address: tuple[str, int], listings: dict[str, Callable[[], Listing]]
+        self,
+        *,
+        address: tuple[str, int],
+        listings: dict[str, Callable[[], Listing]],
+        rooms: CallerRooms,
     ) -> None:
         self._listings = listings
         # The latest body of each path, and the same compressed.
         self._compressed: dict[str, tuple[bytes, bytes]] = {}
-        self._server = WSGIServer(
-            address, self._serve, log=None, error_log=None, handler_class=NoDelayHandler
-        )
+        self._server = rooms.auxiliary_server("peers", address, self._serve)
 
     def start(self) -> None:
         """Open the listener.
--- a/packages/daemon/src/tanagerreachd/gateway/_pipelined_requests.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_pipelined_requests.py
@@ -15,13 +15,14 @@
 
 from .._caller_watch import CallerDisconnectedError, is_closed
 from .._http_server import CallerHandler
-from .._lingering_close import discard_input
 from .._upstream_errors import IncompleteResponseError
 
 # Requests of one connection that are handled concurrently.
 MAX_IN_FLIGHT = 16
 # Interval of checks for a disconnection behind requests that are not read yet.
 UNREAD_CHECK_INTERVAL_S = 0.1
+# A connection with so many requests in flight lets others run before it reads the next one.
+IN_FLIGHT_PER_TURN = 2
 
 
 class _Pipeline:
@@ -73,8 +74,7 @@
         try:
             self._handle_requests()
             self._wait_for_responses()
-            self.end_connection()
-            discard_input(self.socket)
+            self._linger()
         finally:
             self._close(self.socket, self.rfile)
 
@@ -84,9 +84,12 @@
             request = PipelinedRequest(
                 self.socket, self.client_address, self.server, self.rfile, pipeline
             )
+            request.attach(self.connection)
             result = request.handle_one_request()
             pipeline.waiting = None
             if result is True:
+                if len(pipeline.in_flight) >= IN_FLIGHT_PER_TURN:
+                    self.server.turns.wait()
                 continue
             if result is not None:
                 request.refuse(result[1])
@@ -191,6 +194,11 @@
             with self._watching_caller():
                 next(iter(self._pipeline.in_flight)).wait_done()
 
+    def _release_room(self) -> None:
+        """Return what the request holds, unless it is in flight."""
+        if not self.was_read:
+            super()._release_room()
+
     def refuse(self, response: bytes) -> None:
         """Send the response to a request that was refused while it was read."""
         self._pipeline.is_closing = True
@@ -253,6 +261,7 @@
         pipeline = self._pipeline
         pipeline.in_flight.pop(self, None)
         self._previous = None
+        self.room.release()
         if pipeline.is_broken:
             # A response cut short must not look complete, and nothing may follow it.
             pipeline.caller_disconnected()
--- a/packages/daemon/src/tanagerreachd/gateway/_request_log.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_request_log.py
@@ -99,6 +99,11 @@
             lambda: self._served.dropped_count + self._failed.dropped_count,
         )
 
+    def head_refused(self, status: str, reason: str) -> None:
+        """Log a request that was refused before its head was accepted."""
+        if self._failed.take():
+            self._log.info("request refused", status=status, reason=reason)
+
     def placement_decided(self, service: str, placement: Any) -> None:
         """Count a decision on a request's placement."""
         decided_by = "alone" if placement.decided_alone else "home"
--- a/packages/daemon/src/tanagerreachd/gateway/_settings.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_settings.py
@@ -15,6 +15,8 @@
     :param peer_seed_hosts: hosts of some instances, which may be down.
     :param floor_share: minimum share of a service's targets to keep in use while requests fail.
     :param stop_limit_s: time from SIGTERM until the process is killed.
+    :param memory_bytes: memory of the process's machine.
+    :param max_sockets: sockets that the process may open.
     """
 
     instance_name: str
@@ -31,4 +33,6 @@
     target_heartbeat_s: float
     floor_share: float
     stop_limit_s: float
+    memory_bytes: float
+    max_sockets: float
     log_level: str = "info"
--- a/packages/daemon/tests/test_peer_state.py
+++ b/packages/daemon/tests/test_peer_state.py
@@ -6,6 +6,8 @@
 from unittest import mock
 
 import gevent
+from tanagerreachd._metrics import Metrics
+from tanagerreachd.gateway._caller_rooms import CallerRooms
 from tanagerreachd.gateway._peer_state import (
     MAX_PEERS_TRIED,
     OPERATOR_PATH,
@@ -60,7 +62,11 @@
     def setUp(self):
         self.listing = large_listing()
         self.server = PeerStateServer(
-            address=("127.0.0.1", 0), listings={OPERATOR_PATH: lambda: self.listing}
+            address=("127.0.0.1", 0),
+            listings={OPERATOR_PATH: lambda: self.listing},
+            rooms=CallerRooms(
+                memory_bytes=300e6, max_sockets=3900, metrics=Metrics(), log=mock.Mock()
+            ),
         )
         self.server.start()
         self.addCleanup(self.server.stop)
