--- a/packages/daemon/src/tanagerreachd/gateway/_settings.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_settings.py
@@ -21,6 +21,8 @@
         whose configuration calls for it; the same on all machines.
     :param rollout_limits: bounds on the exposure of a version that is rolled out, ``None`` where
         versions of targets are not distinguished.
+    :param memory_bytes: memory of the process's machine.
+    :param max_sockets: sockets that the process may open.
     """
 
     instance_name: str
@@ -37,6 +39,8 @@
     target_heartbeat_s: float
     floor_share: float
     stop_limit_s: float
+    memory_bytes: float
+    max_sockets: float
     log_level: str = "info"
     places_by_cost: bool = True
     rollout_limits: RolloutLimits | None = None
