--- a/packages/core/src/tanagerreach_core/_rollout.py
+++ b/packages/core/src/tanagerreach_core/_rollout.py
@@ -39,11 +39,15 @@
 LATEST_DRAIN_S = 3.0
 LATEST_COMPLETION_S = 1.0
 WEAK_RESPONSES_MIN = 8
+WEAK_SUSPICION_MAX = 0.5
 # Shares of the requests that the new version gets while traffic moves. The last one leaves enough
 # to the old version to compare with it.
 SHIFT_SHARES = (0.25, 0.6, 0.9)
 SHIFT_STEP_MIN_S = 0.6
 SHIFT_STEP_MAX_S = 1.2
+# The first step lasts until late responses would be known as such, but not longer than this.
+FIRST_STEP_MAX_S = 1.6
+FIRST_STEP_LATENESS_RATIO = 1.3
 # Responses that a step needs before the next one.
 STEP_RESPONSES_MIN = 15
 # No step is made with more evidence against the version.
@@ -321,7 +325,12 @@
         if self._left_s(now_s) > LATEST_SHIFT_S:
             return None
         is_usable = facts.new_slot_count > 0 and facts.user_share >= WHOLE_FLEET_SHARE
-        if is_usable and confidence > 0 and new_count >= WEAK_RESPONSES_MIN:
+        is_no_worse = (
+            self._assessment.overall_confidence > 0
+            and self._assessment.suspicion <= WEAK_SUSPICION_MAX
+            and new_count >= WEAK_RESPONSES_MIN
+        )
+        if is_usable and is_no_worse:
             return self._enter(RolloutStage.SHIFTING, "no worse so far", now_s)
         if self._left_s(now_s) <= LATEST_COMPLETION_S:
             return self._enter(RolloutStage.ROLLED_BACK, "no verdict in time", now_s)
@@ -333,7 +342,11 @@
         is_late = self._left_s(now_s) <= LATEST_DRAIN_S
         is_known = results >= STEP_RESPONSES_MIN or in_step_s >= SHIFT_STEP_MAX_S or is_late
         is_quiet = self._assessment.suspicion <= STEP_SUSPICION_MAX
-        if in_step_s < SHIFT_STEP_MIN_S and not is_late:
+        least_s = SHIFT_STEP_MIN_S
+        if self.shift_step == 0:
+            known_s = FIRST_STEP_LATENESS_RATIO * self.comparison.late_after_max_s()
+            least_s = max(least_s, min(FIRST_STEP_MAX_S, known_s))
+        if in_step_s < least_s and not is_late:
             return None
         if not is_known or not (is_quiet or is_late):
             return None
--- a/packages/core/src/tanagerreach_core/_version_comparison.py
+++ b/packages/core/src/tanagerreach_core/_version_comparison.py
@@ -22,8 +22,11 @@
 BAD_LOG_RATIO = 5.5
 # The same for a good version.
 GOOD_LOG_RATIO = 5.0
-# A verdict against the version needs evidence from this many of its targets, if it has them.
+# A verdict against the version needs evidence from this many of its targets, if it has them; more
+# in a short window, which a target that fails for a second fills.
 BLAMED_TARGETS_MIN = 3
+SHORT_WINDOW_S = 1.5
+SHORT_WINDOW_BLAMED_TARGETS_MIN = 4
 # Bound on what a target contributes in favour of the version.
 TARGET_FAVOUR_MAX = 2.0
 # A response that takes longer than this multiple of the old version's third quartile is late.
@@ -36,7 +39,7 @@
 # Responses are counted by intervals of this length.
 SLOT_S = 0.5
 # Windows, and by how much more evidence each needs, as it is looked at more often independently.
-WINDOWS_S = {1.5: 1.35, 4.0: 1.1}
+WINDOWS_S = {SHORT_WINDOW_S: 1.35, 4.0: 1.1}
 # Routes with a smaller share of the service's requests need no responses for a good verdict.
 ROUTE_SHARE_MIN = 0.05
 ROUTE_RESPONSES_MIN = 12
@@ -63,13 +66,15 @@
     """What the responses say of the new version.
 
     :param suspicion: evidence that it is bad; from 1 on it counts as bad.
-    :param confidence: evidence that it is good; from 1 on it counts as good.
+    :param confidence: evidence that it is good on each route; from 1 on it counts as good.
+    :param overall_confidence: the same for all routes together.
     :param route: route with the most evidence, empty for all routes together.
     :param window_s: time over which the evidence was gathered, 0 for all of it.
     """
 
     suspicion: float = 0.0
     confidence: float = 0.0
+    overall_confidence: float = 0.0
     route: str = ""
     window_s: float = 0.0
     old_count: int = 0
@@ -184,14 +189,16 @@
     def assess(self, now_s: float) -> Assessment:
         """Compare the versions."""
         self._update(now_s)
-        found = Assessment(confidence=self._confidence())
+        overall = -self._evidence(self._total, "", favour_max=math.inf) / GOOD_LOG_RATIO
+        found = Assessment(confidence=self._confidence(overall), overall_confidence=overall)
         routes = ["", *self._total.old]
         windows = {0.0: self._total}
         windows |= {window_s: self._window(window_s, now_s) for window_s in WINDOWS_S}
         for window_s, counts in windows.items():
             needed = BAD_LOG_RATIO * WINDOWS_S.get(window_s, 1.0)
             for route in routes:
-                suspicion = self._evidence(counts, route) / needed
+                evidence = self._evidence(counts, route, is_short=window_s == SHORT_WINDOW_S)
+                suspicion = evidence / needed
                 if suspicion > found.suspicion:
                     found.suspicion = suspicion
                     found.route, found.window_s = route, window_s
@@ -200,9 +207,9 @@
         found.new_count, found.new_bad_count = _sums(counts, Side.NEW, found.route)
         return found
 
-    def _confidence(self) -> float:
+    def _confidence(self, overall: float) -> float:
         """Return the evidence that the version is good on all routes that are in use."""
-        confidence = -self._evidence(self._total, "", favour_max=math.inf) / GOOD_LOG_RATIO
+        confidence = overall
         total_count = sum(entry[0] for entry in self._total.old.values())
         for route, (old_count, _) in self._total.old.items():
             if old_count < ROUTE_SHARE_MIN * total_count:
@@ -225,6 +232,10 @@
         ]
         return sorted(found, key=lambda entry: -entry[2])
 
+    def late_after_max_s(self) -> float:
+        """Return the time after which a response of any route is known to be late."""
+        return max(self._late_after_s.values(), default=0.0)
+
     def late_after_ms(self) -> dict[str, int]:
         """Return the latency from which a response is late, by route."""
         return {route: int(1000 * limit_s) for route, limit_s in self._late_after_s.items()}
@@ -284,11 +295,17 @@
         return found
 
     def _evidence(
-        self, counts: _Counts, route: str, *, favour_max: float = TARGET_FAVOUR_MAX
+        self,
+        counts: _Counts,
+        route: str,
+        *,
+        favour_max: float = TARGET_FAVOUR_MAX,
+        is_short: bool = False,
     ) -> float:
         """Return the log-likelihood ratio of a bad version to one like the old version.
 
         :param route: the route to look at, empty for all routes.
+        :param is_short: whether the counts are those of the short window.
         :param favour_max: bound on what a target contributes in favour of the version.
         """
         by_target = [
@@ -297,7 +314,8 @@
             if (wanted := [route] if route else list(by_route))
             and any(name in by_route for name in wanted)
         ]
-        blame_max = BAD_LOG_RATIO / min(BLAMED_TARGETS_MIN, max(1, self.target_count))
+        blamed_count = SHORT_WINDOW_BLAMED_TARGETS_MIN if is_short else BLAMED_TARGETS_MIN
+        blame_max = BAD_LOG_RATIO / min(blamed_count, max(1, self.target_count))
         weights: dict[str, tuple[float, float]] = {}
         evidence = 0.0
         for wanted, by_route in by_target:
