Read a roll-out's status anew before an instance uses it again

An order for the version that all targets carry is completed at once; it was rolled back at its deadline when the first list of targets came after the status.

--- a/packages/core/src/tanagerreach_core/_rollout.py
+++ b/packages/core/src/tanagerreach_core/_rollout.py
@@ -225,6 +225,18 @@
             self.stage = RolloutStage.CANARY
             self._is_continued |= is_continued
 
+    def forget_stage(self) -> bool:
+        """Use the present version only until the status is known again.
+
+        :returns: whether this changes anything.
+        """
+        if self.is_final or self.stage is RolloutStage.UNKNOWN:
+            return False
+        self.stage = RolloutStage.UNKNOWN
+        self.shift_step = 0
+        self._is_continued = True
+        return True
+
     def end(self, stage: RolloutStage) -> None:
         """Take over the verdict that the status has."""
         self.stage = stage
--- a/packages/daemon/src/tanagerreachd/gateway/_rollout_controller.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_rollout_controller.py
@@ -43,7 +43,8 @@
 STATUS_INTERVAL_S = 2.0
 # The same while it is not known.
 UNKNOWN_STATUS_INTERVAL_S = 0.3
-# Progress of another home that is older says nothing.
+# An instance that neither placed requests nor heard of the progress for this long may have missed a
+# verdict.
 PROGRESS_EXPIRY_S = 3.0
 
 _FINAL_STATES = {
@@ -58,6 +59,9 @@
     """What this instance knows of a service's versions and its roll-out.
 
     :param status: the status in the store as last read or written, ``None`` when it is not known.
+    :param used_s: time of the latest request that was placed here.
+    :param homed_s: the same for requests that this instance placed as the home.
+    :param progress_s: time of the latest progress that another home sent.
     """
 
     versions: ServiceVersions
@@ -65,6 +69,7 @@
     status_read_s: float = float("-inf")
     used_s: float = float("-inf")
     homed_s: float = float("-inf")
+    progress_s: float = float("-inf")
     is_calling: bool = False
 
 
@@ -128,10 +133,22 @@
         """
         if service in self._orders:
             entry = self._entry(service)
-            entry.used_s = _clock.now_s()
+            now_s = _clock.now_s()
+            if now_s - max(entry.used_s, entry.progress_s) > PROGRESS_EXPIRY_S:
+                self._forget_stage(service, entry)
+            entry.used_s = now_s
             if is_home:
                 entry.homed_s = entry.used_s
 
+    def _forget_stage(self, service: str, entry: _Entry) -> None:
+        """Read the status before the version is used again, as others went on meanwhile."""
+        rollout = entry.versions.rollout
+        if rollout is not None and rollout.forget_stage():
+            entry.status = None
+            entry.status_read_s = float("-inf")
+            self._log.info("rollout stage outdated", service=service)
+            self._on_change(service)
+
     def apply_orders(self, orders: Iterable[RolloutOrder]) -> None:
         """Apply the operator's orders."""
         if self._limits is None:
@@ -206,11 +223,22 @@
         rollout = entry.versions.rollout
         if facts is None or rollout is None:
             return
+        if rollout.stage is RolloutStage.CANARY and self._is_present(entry):
+            rollout.end(RolloutStage.COMPLETED)
+            self._log.info("rollout needless", service=service, to_version=rollout.order.to_version)
+            self._on_change(service)
+            return
         change = rollout.advance(facts, now_s)
         if change is not None:
             self._log_change(service, change)
             self._on_change(service)
 
+    @staticmethod
+    def _is_present(entry: _Entry) -> bool:
+        """Return whether no target in use carries another version than the ordered one."""
+        rollout = entry.versions.rollout
+        return rollout is not None and entry.versions.base_version == rollout.order.to_version
+
     def _log_change(self, service: str, change: StageChange) -> None:
         assessment = change.assessment
         self._log.info(
@@ -245,7 +273,7 @@
         entry = self._entries.get(progress.service)
         if entry is None or entry.versions.rollout is None:
             return
-        now_s = _clock.now_s()
+        now_s = entry.progress_s = _clock.now_s()
         is_active = now_s - entry.homed_s < HOME_ACTIVE_S
         if entry.versions.rollout.adopt(progress, now_s, is_active=is_active):
             self._on_change(progress.service)
@@ -334,7 +362,7 @@
         if is_of_order and status.state in _FINAL_STAGES:
             rollout.end(_FINAL_STAGES[status.state])
         elif rollout.stage is RolloutStage.UNKNOWN:
-            if entry.versions.base_version == rollout.order.to_version:
+            if self._is_present(entry):
                 rollout.end(RolloutStage.COMPLETED)
             else:
                 rollout.begin(is_continued=is_of_order)
--- a/packages/daemon/tests/test_rollout_controller.py
+++ b/packages/daemon/tests/test_rollout_controller.py
@@ -182,6 +182,22 @@
         # Ages are sent in milliseconds.
         self.assertAlmostEqual(self.rollout(other).age_s(self.now_s), age_s, delta=0.001)
 
+    def test_home_that_returns_uses_an_outdated_stage(self):
+        """Guards against requests to a version that was rolled back meanwhile."""
+        self.run_for(1.0)
+        self.store.put(RolloutStatus(state=RolloutState.ROLLED_BACK, to_version="v2"))
+        self.now_s += 4.0
+        self.controller.record_use("s", is_home=True)
+        self.assertIs(self.rollout().stage, RolloutStage.UNKNOWN)
+        self.run_for(0.5)
+        self.assertIs(self.rollout().stage, RolloutStage.ROLLED_BACK)
+
+    def test_present_version_is_rolled_back(self):
+        """Guards against a verdict without evidence on a version that all targets carry."""
+        self.controller.versions_of("s").base_version = "v2"
+        self.run_for(1.0)
+        self.assertEqual(self.store.written, [RolloutState.COMPLETED])
+
     def test_instance_alone_writes_a_status(self):
         """Guards against a status by an instance that sees a part of the requests."""
         self.run_for(3.0, is_home=False)
