Spread the canary over all targets of the version while requests are refused

While more than a tenth of a service's requests is not served, most of its targets have to be in use (FLOOR). The targets of a version under canary count as sound targets, and all but a few of them were idle.

--- a/packages/core/src/tanagerreach_core/_placement.py
+++ b/packages/core/src/tanagerreach_core/_placement.py
@@ -550,8 +550,9 @@
     def _choose(self, request: WaitingRequest, now_s: float) -> TargetState | None:
         if self._versions is None:
             return self._choose_used(request, now_s)
+        is_spread = self._results.unserved_share(now_s) > HEALTHY_UNSERVED_SHARE_MAX
         return (
-            self._versions.choose_minor(request, self._may_use, now_s)
+            self._versions.choose_minor(request, self._may_use, now_s, is_spread=is_spread)
             or self._choose_used(request, now_s)
             or self._versions.choose_overflow(request, self._may_use, now_s)
         )
--- a/packages/core/src/tanagerreach_core/_service_versions.py
+++ b/packages/core/src/tanagerreach_core/_service_versions.py
@@ -34,12 +34,14 @@
 class ServiceVersions:
     """The present version of a service, and the roll-out of another one, if there is an order."""
 
-    __slots__ = ("_minor", "_sent_counts", "base_version", "rollout")
+    __slots__ = ("_all_new", "_minor", "_sent_counts", "base_version", "rollout")
 
     def __init__(self) -> None:
         self.base_version: str | None = None
         self.rollout: Rollout | None = None
         self._minor: list[TargetState] = []
+        # Targets of the ordered version while there is a canary, which uses some of them.
+        self._all_new: list[TargetState] = []
         # Requests that went to a target as one of the minor version.
         self._sent_counts: Counter[str] = Counter()
 
@@ -55,6 +57,7 @@
         rollout.comparison.target_count = len(new)
         if rollout.stage is RolloutStage.CANARY:
             self._minor = _canary_targets(new)
+            self._all_new = list(new.values())
         elif rollout.stage is RolloutStage.SHIFTING and rollout.new_share <= 0.5:
             self._minor = list(new.values())
         elif rollout.new_share > 0 and new:
@@ -88,8 +91,13 @@
         request: WaitingRequest,
         may_use: Callable[[TargetState, WaitingRequest, float], bool],
         now_s: float,
+        *,
+        is_spread: bool = False,
     ) -> TargetState | None:
-        """Return a target of the minor version, if it is its turn and one has room."""
+        """Return a target of the minor version, if it is its turn and one has room.
+
+        :param is_spread: whether no target should stay idle, as many requests are not served.
+        """
         placement_request = request.placement_request
         if self.rollout is None or not self._minor or not _is_first_try(placement_request):
             return None
@@ -97,6 +105,9 @@
         if not self.rollout.is_for_minor(_route(placement_request), now_s, is_cold=is_cold):
             return None
         if self.rollout.stage is RolloutStage.CANARY:
+            if is_spread:
+                usable = self._usable(self._all_new, request, may_use, now_s)
+                return min(usable, key=lambda state: state.latest_start_s, default=None)
             return self._most_loaded(request, may_use, now_s)
         return self._least_used(request, may_use, now_s)
 
@@ -112,20 +123,21 @@
             return None
         return self._least_used(request, may_use, now_s)
 
+    @staticmethod
     def _usable(
-        self,
+        targets: list[TargetState],
         request: WaitingRequest,
         may_use: Callable[[TargetState, WaitingRequest, float], bool],
         now_s: float,
     ) -> list[TargetState]:
-        """Return the targets of the minor version that may get the request.
+        """Return the targets that may get the request.
 
         As for the other version, targets that are likely to fail get requests only when no others
         have room, so that both versions are treated alike.
         """
         usable = [
             state
-            for state in self._minor
+            for state in targets
             if now_s >= state.failure_estimator.down_until_s and may_use(state, request, now_s)
         ]
         healthy = [
@@ -146,7 +158,7 @@
         The few requests of the canary go to one target after the other, so that each bears for a
         while what it would bear after the roll-out.
         """
-        usable = self._usable(request, may_use, now_s)
+        usable = self._usable(self._minor, request, may_use, now_s)
         if not usable:
             return None
         turn = int(now_s / CANARY_TURN_S) % len(self._minor)
@@ -164,7 +176,7 @@
         may_use: Callable[[TargetState, WaitingRequest, float], bool],
         now_s: float,
     ) -> TargetState | None:
-        usable = self._usable(request, may_use, now_s)
+        usable = self._usable(self._minor, request, may_use, now_s)
         return min(
             usable,
             key=lambda state: (
--- a/packages/core/src/tanagerreach_core/_version_comparison.py
+++ b/packages/core/src/tanagerreach_core/_version_comparison.py
@@ -120,7 +120,6 @@
     """Responses of the old and of the new version of one service."""
 
     __slots__ = (
-        "_assessed_s",
         "_late_after_s",
         "_late_updated_s",
         "_latencies_s",
--- a/packages/core/tests/test_rollout.py
+++ b/packages/core/tests/test_rollout.py
@@ -206,6 +206,17 @@
         self.assertTrue(names)
         self.assertLessEqual(names, {target.name for target in targets})
 
+    def test_targets_of_the_new_version_stay_idle(self):
+        """Guards against a service that uses half of its targets while requests are refused."""
+        home = Home([*self.old, *self.new], 0.0, is_age_known=True)
+        more = [self.target(f"m{number}", "v2") for number in range(12)]
+        home.placement.configure([*self.old, *self.new, *more], 10.0)
+        home.order(10.0)
+        for _ in range(10):
+            home.placement.record_refusal(20.0)
+        names = self.used(home.placement, count=150)
+        self.assertGreaterEqual(len(names - {target.name for target in self.old}), 12)
+
     def test_two_homes_use_the_exposure_twice(self):
         """Guards against a full exposure on each side of a partition."""
         counts = []
