--- a/packages/core/src/tanagerreach_core/_placement_messages.py
+++ b/packages/core/src/tanagerreach_core/_placement_messages.py
@@ -172,7 +172,7 @@
     ``beat`` rises with each state of an instance, also over its restarts. ``age_ms`` is the time
     since the instance sent the state, or ``AGE_UNKNOWN_MS``. ``address`` is empty in most states
     that are passed on. ``store_reachable`` states whether the store replies to the instance.
-    ``configuration_version`` is the store's revision of the operators' state that it has in force.
+    ``configuration_version`` is the store's position of the operators' state that it has in force.
     ``suspected_names`` are instances that did not reply to it. ``crash_reports`` are its latest
     observations of requests that may crash targets.
     """
