Bound the reads while a peer is in an era that the store does not show

A follower whose list came from a peer in a newer era than the store's answers read the list again without a pause, as its watch is refused at once. Both followers now pause after such a read. Also a test of stale reads that lag behind an era.

--- a/packages/daemon/src/tanagerreachd/gateway/_followers.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_followers.py
@@ -265,8 +265,11 @@
         except _WatchInterruptedError:
             return
         except HistoryGoneError:
-            self._log.info("store history gone", part="operator state", revision=self._revision)
-            self._read()
+            revision = self._revision
+            self._log.info("store history gone", part="operator state", revision=revision)
+            if self._read() and self._revision == revision:
+                # A peer's state is of an era that the store has not shown here yet.
+                gevent.sleep(OPERATOR_PAUSE_S)
             return
         except SourceError as error:
             gevent.sleep(self._availability.record_failure(error))
@@ -453,6 +456,9 @@
         self._record_response()
         if is_changed:
             self._on_change()
+        elif not allow_stale:
+            # A peer's listing is of an era that the store has not shown here yet.
+            gevent.sleep(TARGET_PAUSE_S)
 
     @property
     def _has_read(self) -> bool:
--- a/packages/daemon/tests/test_gateway_followers.py
+++ b/packages/daemon/tests/test_gateway_followers.py
@@ -6,7 +6,14 @@
 
 import gevent
 from tanagerreachd import _clock
-from tanagerreachd.gateway import Listing, SourceError, StoredItem, _operator_items, store_position
+from tanagerreachd.gateway import (
+    HistoryGoneError,
+    Listing,
+    SourceError,
+    StoredItem,
+    _operator_items,
+    store_position,
+)
 from tanagerreachd.gateway._followers import OperatorStateFollower, TargetFollower
 from tanagerreachd.gateway._target_directory import TargetDirectory
 
@@ -225,6 +232,28 @@
         self.assertEqual(self.in_force(), {b"2"})
         self.assertEqual(self.follower.version, store_position(1, 80))
 
+    def test_peer_is_in_an_era_that_the_store_does_not_show(self):
+        """Guards against a flood of store calls by followers that a peer told of another era."""
+        copy, newer = self.listing(0, 90, b"2"), self.listing(1, 80, b"1")
+        self.follower.set_peer_reader(lambda: newer)
+        self.read(copy)
+        self.follower._read_from_peer()
+        self.source.read.side_effect = None
+        self.source.read.return_value = copy
+        self.source.wait.side_effect = HistoryGoneError("era")
+        directory = TargetDirectory(decode=lambda item: None, on_skipped=mock.Mock())
+        directory.replace(newer, 0.0)
+        targets = FollowerTest.make_follower(self.source, directory)
+        targets.keep_current()
+        self.source.read.reset_mock()
+        loops = [
+            gevent.spawn(lambda step=step: [step() for _ in range(1000)])
+            for step in (self.follower.run_watch, targets.run)
+        ]
+        gevent.sleep(1.0)
+        gevent.killall(loops)
+        self.assertLessEqual(self.source.read.call_count, 8)
+
     def test_released_items_wait_for_a_read(self):
         """Guards against held items that stay in force as nothing causes a read."""
         removed = StoredItem(key="op/evacuate/a", value=b"0", revision=90)
