--- a/packages/daemon/src/tanagerreachd/gateway/_instance.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_instance.py
@@ -428,7 +428,8 @@
             self._targets.check()
         self._crashes.merge(state.name, state.crash_reports, _clock.now_s() - age_s)
         self._operators.record_peer_version(state.configuration_version)
-        if era_of(state.configuration_version) > self._platform.era:
+        if 0 <= self._platform.era < era_of(state.configuration_version):
+            # The store came back from an older copy since its latest answer.
             self._targets.check()
         if change.is_serving_changed and not change.was_silent:
             is_serving = state.is_serving and not state.is_leaving
