Read the members once at a start when peers have told of them

Each instance read the list of members twice at its start, in case another one registered after the first read. Of any two instances the later one to register reads the entry of the other, and tells it; so the second read is left to instances that no peer has replied to.

--- a/packages/daemon/src/tanagerreachd/gateway/_membership.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_membership.py
@@ -20,7 +20,9 @@
 REGISTRATION_RETRY_S = 0.7
 # Time over which the instances of a fleet register anew in a new era of the store.
 REGISTRATION_SPREAD_S = 1.0
-# Instances that start together may each read the list before the others have registered.
+# Instances that start together may read the list before the others have registered. Of any two, the
+# later one to register reads the entry of the other, and peers that reply tell of it; an instance
+# without a reply reads the list again.
 MEMBERS_REREAD_S = 1.5
 # Peers that an instance asks for the states of all when it starts, and least time between two
 # further such requests.
@@ -192,6 +194,7 @@
         while not self._is_leaving:
             pause_s = REGISTRATION_RETRY_S * self._random.uniform(0.7, 1.3)
             try:
+                is_read_again = self._is_registered and not is_first_read
                 if not self._is_registered:
                     self._registration_requested.clear()
                     self._platform.register(
@@ -202,7 +205,8 @@
                         ),
                     )
                     self._is_registered = True
-                self._add_members(self._platform.members())
+                if not (is_read_again and self._has_news):
+                    self._add_members(self._platform.members())
                 pause_s = MEMBERS_REREAD_S if is_first_read else REGISTRATION_INTERVAL_S
                 is_first_read = False
                 # After the long interval the entry is renewed before the list is read.
--- a/packages/daemon/tests/test_gateway_followers.py
+++ b/packages/daemon/tests/test_gateway_followers.py
@@ -5,16 +5,19 @@
 from unittest import mock
 
 import gevent
+from tanagerreach_core.placement import PeerTable
 from tanagerreachd import _clock
 from tanagerreachd.gateway import (
     HistoryGoneError,
     Listing,
     SourceError,
     StoredItem,
+    _membership,
     _operator_items,
     store_position,
 )
 from tanagerreachd.gateway._followers import OperatorStateFollower, TargetFollower
+from tanagerreachd.gateway._membership import Membership
 from tanagerreachd.gateway._target_directory import TargetDirectory
 
 
@@ -100,6 +103,44 @@
         self.assertEqual(directory.missing_count, len(items))
 
 
+class MembershipTest(unittest.TestCase):
+    """Load pattern: all instances of a large fleet start at once, and each reads the members."""
+
+    def read_count(self, *, has_news, fails=0):
+        """Return the reads of the members by an instance within its first seconds."""
+        platform = mock.Mock()
+        platform.members.side_effect = [*[SourceError("status 503")] * fails, *[{}] * 9]
+        membership = Membership(
+            settings=mock.Mock(instance_name="i0", data_centre="a"),
+            platform=platform,
+            peer_table=PeerTable(own_name="i0", heartbeat_s=0.6),
+            describe=mock.Mock(),
+            on_state=mock.Mock(),
+            send=mock.Mock(),
+            log=mock.Mock(),
+            random=Random(1),
+        )
+        membership._has_news = has_news
+        with (
+            mock.patch.object(_membership, "MEMBERS_REREAD_S", 0.05),
+            mock.patch.object(_membership, "REGISTRATION_RETRY_S", 0.01),
+        ):
+            loop = gevent.spawn(membership.register)
+            gevent.sleep(0.3)
+            loop.kill()
+        self.assertEqual(platform.register.call_count, 1)
+        return platform.members.call_count
+
+    def test_members_are_read_twice(self):
+        """Guards against a second read of the members by each instance that peers told of them."""
+        self.assertEqual(self.read_count(has_news=True), 1)
+        self.assertEqual(self.read_count(has_news=True, fails=1), 2)
+
+    def test_instance_that_hears_nothing_reads_once(self):
+        """Guards against instances that start together and do not know each other."""
+        self.assertEqual(self.read_count(has_news=False), 2)
+
+
 class HangingSource:
     """Store that never ends a call that it got before or while it hangs.
 
