--- a/packages/core/src/tanagerreach_core/_messages.py
+++ b/packages/core/src/tanagerreach_core/_messages.py
@@ -19,8 +19,10 @@
     PlacementRequest,
     QuotaReply,
     QuotaRequest,
+    QuotaReturn,
     RefusalNotice,
 )
+from ._rollout_messages import RolloutProgress, RoutedPlacementRequest
 from ._slots import SlotSet
 
 
@@ -272,11 +274,14 @@
     | PlacementCompletion
     | QuotaRequest
     | QuotaReply
+    | QuotaReturn
     | CompletionAck
     | Heartbeat
     | PeerNews
     | FailureDigest
     | RefusalNotice
+    | RoutedPlacementRequest
+    | RolloutProgress
 )
 
 
--- a/packages/core/src/tanagerreach_core/_placement.py
+++ b/packages/core/src/tanagerreach_core/_placement.py
@@ -13,7 +13,11 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
+import msgspec
+
+from ._class_load import ClassLoad
 from ._crash_streaks import CrashStreaks
+from ._expected_work import NO_LATE_COSTS, ExpectedWork, TargetWork, late_costs
 from ._failure_estimator import FailureEstimator
 from ._outcomes import FAILURES, NOT_STARTED, Outcome
 from ._placement_messages import (
@@ -25,7 +29,10 @@
     TargetNotice,
 )
 from ._recent_results import RecentResults
+from ._refused_requests import RefusedRequests
+from ._rollout import RolloutFacts
 from ._service_latency import ServiceLatency
+from ._service_versions import ServiceVersions
 from ._start_time_fair_queue import StartTimeFairQueue, WaitingRequest
 from ._target_ranking import HEALTHY_FAILURE_PROBABILITY_MAX, TargetRanking
 from ._target_state import PlacedRequest, PlacementTarget, TargetState
@@ -35,6 +42,7 @@
     IdleTargetUse,
     idle_target_use,
 )
+from ._work_distribution import WorkDistribution
 
 MS_PER_S = 1000.0
 PERCENT = 100
@@ -47,6 +55,8 @@
 WAIT_SHARE_MAX = 0.6
 # The same while only targets that are likely to fail have free slots: they may be healthy.
 LIKELY_FAILING_WAIT_SHARE_MAX = 1.5
+# A queued request is refused when less than this share of the usual latency is left.
+MIN_CLASS_TIME_SHARE = 1 / 4
 # A placement without a completion is released this long after its request's deadline.
 LOST_COMPLETION_GRACE_S = 0.5
 LOST_COMPLETION_CHECK_INTERVAL_S = 0.25
@@ -78,9 +88,13 @@
 
     :param unserved_share: share of the recent requests that were not served, from 0 to 1.
     :param failed_share: share of the recent requests that failed at targets, from 0 to 1.
+    :param overdue_count: queued requests that came back too late for their latency objective.
+    :param awaited_count: refused requests that may come back.
     """
 
     waiting_count: int
+    overdue_count: int
+    awaited_count: int
     in_flight_count: int
     unserved_share: float
     failed_share: float
@@ -96,9 +110,11 @@
     :param floor_share: share of the targets that has to be in use while many requests are not
         served, from 0 to 1.
     :param crashes: requests that may crash targets, by default none that other homes know.
+    :param versions: versions of the targets, ``None`` when they are not distinguished.
     """
 
     __slots__ = (
+        "_class_load",
         "_crashes",
         "_finished_replies",
         "_floor_share",
@@ -108,19 +124,32 @@
         "_user_share",
         "_queued_keys",
         "_ranking",
+        "_refused",
         "_queue",
         "_placed",
         "_lost_checked_at_s",
         "_results",
         "_slot_count",
         "_targets",
+        "_work",
+        "_used_targets",
+        "_versions",
     )
 
-    def __init__(self, *, floor_share: float, crashes: CrashStreaks | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        floor_share: float,
+        crashes: CrashStreaks | None = None,
+        versions: ServiceVersions | None = None,
+    ) -> None:
         self._floor_share = floor_share
         self._crashes = CrashStreaks() if crashes is None else crashes
         self._queue = StartTimeFairQueue()
         self._targets: dict[str, TargetState] = {}
+        self._versions = versions
+        # Targets that get requests; those of another version get none, or a small share.
+        self._used_targets = self._targets
         self._placed: dict[tuple[str, int], PlacedRequest] = {}
         self._queued_keys: set[tuple[str, int]] = set()
         self._ranking = TargetRanking()
@@ -133,6 +162,10 @@
         self._lent_share = 1.0
         self._lost_checked_at_s = float("-inf")
         self._latency = ServiceLatency()
+        # Expected work of requests, while they are placed by it.
+        self._work: ExpectedWork | None = None
+        self._class_load = ClassLoad()
+        self._refused = RefusedRequests()
 
     def __len__(self) -> int:
         return len(self._queue)
@@ -156,6 +189,8 @@
         """Return the service's present load."""
         return PlacementLoad(
             waiting_count=len(self._queue),
+            overdue_count=sum(request.is_overdue for request in self._queue),
+            awaited_count=self._refused.awaited_count,
             in_flight_count=len(self._placed),
             unserved_share=self._results.unserved_share(now_s),
             failed_share=self._results.failed_share(now_s),
@@ -174,6 +209,7 @@
                     joined_s=now_s,
                     user_share=self._user_share,
                     lent_share=self._lent_share,
+                    work=None if self._work is None else TargetWork(now_s=now_s),
                 )
             else:
                 if known.spec.started_ms != spec.started_ms:
@@ -181,9 +217,34 @@
                 known.spec = spec
         for name in set(self._targets) - set(wanted):
             del self._targets[name]
-        self._ranking.set_targets(self._targets)
+        self.select_versions()
+
+    def select_versions(self) -> None:
+        """Use the targets of the versions that may get requests now."""
+        if self._versions is not None:
+            self._used_targets = self._versions.select(self._targets)
+        self._ranking.set_targets(self._used_targets)
         self._idle_plan = None
-        self._slot_count = sum(target.slot_count for target in wanted.values())
+        self._slot_count = sum(state.spec.slot_count for state in self._used_targets.values())
+
+    def rollout_facts(self, now_s: float) -> RolloutFacts | None:
+        """Return the state of the service for its roll-out, ``None`` without versions."""
+        if self._versions is None:
+            return None
+        return self._versions.facts(
+            self._targets, user_share=self._user_share, lent_share=self._lent_share, now_s=now_s
+        )
+
+    def set_places_by_cost(self, places_by_cost: bool, now_s: float) -> None:
+        """Set whether the expected work of requests decides, rather than their number."""
+        if places_by_cost == (self._work is not None):
+            return
+        self._work = ExpectedWork(latency=self._latency, now_s=now_s) if places_by_cost else None
+        for state in self._targets.values():
+            state.work = TargetWork(now_s=now_s) if places_by_cost else None
+        for placed in self._placed.values():
+            placed.work = self._work_of(placed.request.placement_request, now_s)
+        self._ranking.invalidate()
 
     def set_user_share(self, user_share: float) -> None:
         """Set the share of the instances that use this home, from 0 to 1."""
@@ -212,6 +273,7 @@
         known = self._known_reply(key)
         if known is not None:
             return known
+        placement_request = self._with_tried_targets(key[0], placement_request, now_s)
         request = WaitingRequest(
             key=key,
             placement_request=placement_request,
@@ -219,19 +281,62 @@
             deadline_s=now_s + placement_request.remaining_ms / MS_PER_S,
             objective_s=now_s + placement_request.objective_ms / MS_PER_S,
         )
+        self._restore_objective(request, now_s)
         refusal = self._refusal(request, now_s)
         if refusal is not None:
             if not placement_request.is_in_flight:
                 self.record_refusal(now_s)
-            return self._finish(request, refusal)
+            return self._finish(request, refusal, now_s)
         self._release_lost(now_s)
         self._add(request)
         reply = self._try_place(request, now_s)
         if reply is not None:
             self._remove(request, is_served=reply.state is PlacementState.GRANTED)
-            return self._finish(request, reply)
+            return self._finish(request, reply, now_s)
         return PlacementReply(call_id=placement_request.call_id, state=PlacementState.QUEUED)
 
+    def _with_tried_targets(
+        self, requester: str, placement_request: PlacementRequest, now_s: float
+    ) -> PlacementRequest:
+        """Let a request go again to the targets that it was sent to, when others have no room."""
+        if not placement_request.tried:
+            return placement_request
+        if self._capacity_left(requester, placement_request, now_s) >= 1:
+            return placement_request
+        again = {
+            name
+            for name in placement_request.tried
+            if name in self._targets and self._targets[name].is_up(requester, now_s)
+        }
+        excluded = [name for name in placement_request.excluded if name not in again]
+        return msgspec.structs.replace(placement_request, excluded=excluded)
+
+    def _capacity_left(
+        self, requester: str, placement_request: PlacementRequest, now_s: float
+    ) -> float:
+        """Return how many requests the targets that a request may go to are likely to serve."""
+        self._ranking.evaluate(self._latency, now_s)
+        return sum(
+            state.capacity(self.service_time_s) * (1 - self._ranking.failure_probability(name))
+            for name, state in self._targets.items()
+            if self._is_eligible(state, placement_request, now_s) and state.is_up(requester, now_s)
+        )
+
+    def _has_target(self, placement_request: PlacementRequest, now_s: float) -> bool:
+        return any(
+            self._is_eligible(state, placement_request, now_s) for state in self._targets.values()
+        )
+
+    def _restore_objective(self, request: WaitingRequest, now_s: float) -> None:
+        """Restore the latency objective of a request whose caller comes back."""
+        placement_request = request.placement_request
+        if placement_request.is_in_flight:
+            return
+        objective_s = self._refused.take_objective_s(placement_request.fingerprint)
+        if objective_s is not None and objective_s < request.objective_s:
+            request.objective_s = objective_s
+            request.is_overdue = objective_s < now_s + self._class_time_s(placement_request)
+
     def record_refusal(self, now_s: float) -> None:
         """Count a refused request."""
         self._results.add_refused(now_s)
@@ -257,7 +362,11 @@
         if placed is None:
             return None
         self._crashes.observe(fingerprint, key, outcome, now_s)
+        if self._versions is not None:
+            self._versions.record_result(key, outcome, latency_s, now_s)
         self._record_result(placed.request.placement_request, outcome, now_s)
+        if outcome in NOT_STARTED:
+            self._record_refused(placed.request, now_s)
         state = self._targets.get(placed.target)
         if state is None:
             return None
@@ -271,9 +380,17 @@
             placed.started_s
         )
         if outcome is not Outcome.TIMEOUT or is_conclusive:
-            state.observe(key[0], outcome, latency_s, self.service_time_s, now_s)
+            compared_s = latency_s
+            if placed.work is not None:
+                compared_s *= self.service_time_s / placed.work.mean_s
+            state.observe(key[0], outcome, compared_s, self.service_time_s, now_s)
+        if outcome is Outcome.SUCCESS:
+            self._record_work(placed, state, latency_s, now_s)
         self._ranking.update(state, self._latency, now_s)
         if outcome is Outcome.SUCCESS:
+            self._class_load.record_served(
+                placed.request.rank, latency_s, self.service_time_s, now_s
+            )
             self._latency.record(latency_s)
             return None
         return PlacementEvent(
@@ -283,6 +400,22 @@
             failing_after=state.failure_estimator.failure_probability(now_s),
         )
 
+    def _work_of(
+        self, placement_request: PlacementRequest, now_s: float
+    ) -> WorkDistribution | None:
+        if self._work is None:
+            return None
+        return self._work.of(placement_request.work_class, placement_request.path_shape, now_s)
+
+    def _record_work(
+        self, placed: PlacedRequest, state: TargetState, latency_s: float, now_s: float
+    ) -> None:
+        """Record the latency of a request that got its response."""
+        if self._work is None or state.work is None or placed.work is None:
+            return
+        state.work.record(placed.work.mean_s, latency_s, self.service_time_s, now_s)
+        placed.work.record(latency_s, now_s)
+
     def record_notice(
         self, key: tuple[str, int], target: str, notice: TargetNotice, age_s: float, now_s: float
     ) -> bool:
@@ -357,6 +490,8 @@
         self._crashes.adopt(digest.crash_streaks, now_s)
         if not self._placed:
             self._latency.adopt(digest.service_time_ms / MS_PER_S)
+            if self._work is not None:
+                self._work.adopt_mean(now_s)
 
     def _adopt_notices(self, digest: FailureDigest, now_s: float) -> None:
         """Adopt the notices of targets that have sent no response here."""
@@ -381,11 +516,15 @@
             if reply is None:
                 continue
             self._remove(request, is_served=reply.state is PlacementState.GRANTED)
-            decisions.append((request, self._finish(request, reply)))
+            decisions.append((request, self._finish(request, reply, now_s)))
         return decisions
 
     # Queueing and refusing
 
+    def _class_time_s(self, placement_request: PlacementRequest) -> float:
+        """Return the mean latency of successful requests like this one."""
+        return self._class_load.mean_s(placement_request.urgency, self.service_time_s)
+
     def _add(self, request: WaitingRequest) -> None:
         self._queue.add(request)
         self._queued_keys.add(request.key)
@@ -406,15 +545,15 @@
         placement_request = request.placement_request
         if self._crashes.is_refused(placement_request.fingerprint, now_s):
             return self._refuse(placement_request, RefusalCause.CRASH_REQUEST)
-        if not any(
-            self._is_eligible(state, placement_request, now_s) for state in self._targets.values()
-        ):
+        if not self._has_target(placement_request, now_s):
             return self._refuse(placement_request, RefusalCause.NO_TARGET, RETRY_AFTER_MIN_S)
-        wait_s = self._expected_wait_s(placement_request, now_s)
-        if now_s + wait_s + self.service_time_s > request.deadline_s:
+        wait_s = self._expected_wait_s(request, now_s)
+        class_time_s = self._class_time_s(placement_request)
+        if now_s + wait_s + class_time_s > request.deadline_s:
             cause = RefusalCause.NO_ROOM if wait_s else RefusalCause.DEADLINE
             return self._refuse(placement_request, cause, wait_s)
-        spare_s = max(0.0, request.objective_s - now_s - self.service_time_s)
+        due_s = request.deadline_s if request.is_overdue else request.objective_s
+        spare_s = max(0.0, due_s - now_s - class_time_s)
         is_long = wait_s > WAIT_SHARE_MAX * spare_s
         # Whether a target has room is counted only for a request that would wait long without it.
         if is_long and (
@@ -442,29 +581,46 @@
         """Return the number of free slots without those that targets take no requests for."""
         unusable = sum(
             max(0, state.spec.slot_count - len(state.in_flight))
-            for state in self._targets.values()
+            for state in self._used_targets.values()
             if (state.limit is not None or state.is_leaving) and not state.has_room(now_s)
         )
         return self._free_slot_count() - unusable
 
-    def _expected_wait_s(self, placement_request: PlacementRequest, now_s: float) -> float:
-        ahead = self._queue.count_ahead_of(placement_request.priority, placement_request.workspace)
+    def _expected_wait_s(self, request: WaitingRequest, now_s: float) -> float:
+        ahead = self._queue.ahead_of(request)
         if not ahead:
             return 0.0
         self._ranking.evaluate(self._latency, now_s)
-        return ahead * self.service_time_s / max(1.0, self._ranking.capacity)
+        capacity = self._ranking.capacity
+        share = self._class_load.share_left(request.rank, capacity, now_s)
+        return self._work_s(ahead) / max(1.0, share * capacity)
+
+    def _work_s(self, requests: list[WaitingRequest]) -> float:
+        """Return the time for which requests are expected to use slots."""
+        if not self._class_load.is_mixed:
+            return len(requests) * self.service_time_s
+        return sum(self._class_time_s(request.placement_request) for request in requests)
 
     def _try_place(self, request: WaitingRequest, now_s: float) -> PlacementReply | None:
         placement_request = request.placement_request
-        if now_s + self._min_service_time_s() > request.deadline_s:
-            return self._refuse(placement_request, RefusalCause.NO_ROOM, self.service_time_s)
+        class_time_s = self._class_time_s(placement_request)
+        if now_s + MIN_CLASS_TIME_SHARE * class_time_s > request.deadline_s:
+            return self._refuse(placement_request, RefusalCause.NO_ROOM, class_time_s)
         state = self._choose(request, now_s)
         if state is None:
             return None
-        placed = PlacedRequest(request=request, target=state.spec.name, started_s=now_s)
+        placed = PlacedRequest(
+            request=request,
+            target=state.spec.name,
+            started_s=now_s,
+            work=self._work_of(placement_request, now_s),
+        )
         self._placed[request.key] = placed
-        failure_probability = self._ranking.failure_probability(state.spec.name)
+        failure_probability = self._failure_probability(state, now_s)
         state.start(placed)
+        work_left_s = 0.0 if state.work is None else state.work.left_s
+        if self._versions is not None:
+            self._versions.record_sent(request, state, now_s)
         self._ranking.update(state, self._latency, now_s)
         return PlacementReply(
             call_id=placement_request.call_id,
@@ -480,17 +636,30 @@
             response_age_ms=_age_ms(state.responded_s, now_s),
             started_ms=state.spec.started_ms,
             is_listed=state.spec.is_listed,
+            expected_work_ms=0 if placed.work is None else int(MS_PER_S * placed.work.mean_s),
+            work_left_ms=int(MS_PER_S * work_left_s),
         )
 
-    def _min_service_time_s(self) -> float:
-        return self.service_time_s / 4
-
-    def _finish(self, request: WaitingRequest, reply: PlacementReply) -> PlacementReply:
+    def _finish(
+        self, request: WaitingRequest, reply: PlacementReply, now_s: float
+    ) -> PlacementReply:
+        if reply.state is PlacementState.REFUSED:
+            self._record_refused(request, now_s)
         self._finished_replies[request.key] = reply
         if len(self._finished_replies) > FINISHED_REPLIES_MAX:
             del self._finished_replies[next(iter(self._finished_replies))]
         return reply
 
+    def _record_refused(self, request: WaitingRequest, now_s: float) -> None:
+        placement_request = request.placement_request
+        if not placement_request.is_in_flight:
+            self._refused.record(
+                placement_request.fingerprint,
+                objective_s=request.objective_s,
+                deadline_s=request.deadline_s,
+                now_s=now_s,
+            )
+
     def _release_lost(self, now_s: float) -> None:
         """Free the slots of requests whose completion was never reported."""
         if now_s - self._lost_checked_at_s < LOST_COMPLETION_CHECK_INTERVAL_S:
@@ -500,6 +669,8 @@
             if now_s <= placed.request.deadline_s + LOST_COMPLETION_GRACE_S:
                 continue
             del self._placed[key]
+            if self._versions is not None:
+                self._versions.forget(key)
             state = self._targets.get(placed.target)
             if state is not None:
                 state.complete(key)
@@ -507,7 +678,21 @@
 
     # Choice of the target
 
+    def _failure_probability(self, state: TargetState, now_s: float) -> float:
+        if state.spec.name in self._used_targets:
+            return self._ranking.failure_probability(state.spec.name)
+        return state.request_failure_probability(self._latency, now_s)
+
     def _choose(self, request: WaitingRequest, now_s: float) -> TargetState | None:
+        if self._versions is None:
+            return self._choose_used(request, now_s)
+        return (
+            self._versions.choose_minor(request, self._may_use, now_s)
+            or self._choose_used(request, now_s)
+            or self._versions.choose_overflow(request, self._may_use, now_s)
+        )
+
+    def _choose_used(self, request: WaitingRequest, now_s: float) -> TargetState | None:
         is_evaluated = self._ranking.evaluate(self._latency, now_s)
         if not self._ranking:
             return None
@@ -523,11 +708,16 @@
             )
             if idle is not None:
                 return idle
-        return self._ranking.best(request, self._failure_probability_limit(request, now_s), now_s)
+        highest = self._failure_probability_limit(request, now_s)
+        if not self._ranking.has_slow:
+            return self._ranking.best(request, highest, now_s)
+        work = self._work_of(request.placement_request, now_s)
+        costs = NO_LATE_COSTS if work is None else late_costs(work, request.objective_s - now_s)
+        return self._ranking.best(request, highest, now_s, costs)
 
     def _plan_idle_targets(self, now_s: float) -> IdleTargetPlan:
         return IdleTargetPlan(
-            self._targets.values(),
+            self._used_targets.values(),
             use=idle_target_use(self._results, len(self._placed), now_s),
             failure_probability=lambda state: self._ranking.failure_probability(state.spec.name),
             floor_share=self._floor_share,
@@ -562,7 +752,8 @@
         """
         if request.placement_request.is_in_flight:
             return HEALTHY_FAILURE_PROBABILITY_MAX
-        latest_s = min(request.objective_s, request.deadline_s) - 2 * self.service_time_s
+        class_time_s = self._class_time_s(request.placement_request)
+        latest_s = min(request.objective_s, request.deadline_s) - 2 * class_time_s
         spare_s = latest_s - request.arrived_s
         # Waiting helps only if a target that is likely healthy is merely busy.
         if spare_s <= 0 or not self._ranking.has_healthy(request.placement_request.excluded):
--- a/packages/core/src/tanagerreach_core/_placement_messages.py
+++ b/packages/core/src/tanagerreach_core/_placement_messages.py
@@ -70,7 +70,11 @@
     before; ``is_retry`` states whether it was sent to one. ``accepts_stale`` allows a placement
     also when the home's list of targets may be out of date. ``is_decided_alone`` is set by an
     instance that places the request itself because no home replied. ``is_in_flight`` states that a
-    target is still working on the request, so that a refusal does not leave it unserved.
+    target is still working on the request, so that a refusal does not leave it unserved. Of the
+    requests of one ``priority``, those of the lower ``urgency`` go first. ``tried`` are those
+    ``excluded`` targets that may get the request again when no other target is likely to serve it.
+    ``work_class`` and ``path_shape`` tell requests apart that likely take different times; both
+    are 0 when the requester does not say it.
     """
 
     call_id: int
@@ -87,6 +91,10 @@
     accepts_stale: bool = False
     is_decided_alone: bool = False
     is_in_flight: bool = False
+    urgency: int = 0
+    tried: list[str] = msgspec.field(default_factory=list)
+    work_class: int = 0
+    path_shape: int = 0
 
 
 class PlacementReply(msgspec.Struct, kw_only=True, array_like=True, tag=21):
@@ -97,7 +105,9 @@
     the target's start time. Some fields explain the decision in logs: ``failure_percent`` is the
     probability that the target fails requests now, ``waiting_count`` the length of the queue,
     ``free_slot_count`` the number of the targets' free slots, ``list_age_ms`` the age of the latest
-    list of targets that has the target, ``is_listed`` whether that is the home's latest one.
+    list of targets that has the target, ``is_listed`` whether that is the home's latest one,
+    ``expected_work_ms`` how long the request is expected to run and ``work_left_ms`` the sum of
+    what ran at the target before it; both are 0 when requests are placed by their number.
     """
 
     call_id: int
@@ -116,6 +126,8 @@
     response_age_ms: int = -1
     started_ms: int = 0
     is_listed: bool = True
+    expected_work_ms: int = 0
+    work_left_ms: int = 0
 
 
 class PlacementCompletion(msgspec.Struct, kw_only=True, array_like=True, tag=22):
@@ -160,6 +172,18 @@
     fleet_percent: int = 100
 
 
+class QuotaReturn(msgspec.Struct, kw_only=True, array_like=True, tag=31):
+    """Returns the unit of a :class:`QuotaRequest` whose request did not run.
+
+    It is not acknowledged: when it is lost, the unit is lost.
+
+    :param call_id: call id of the quota request.
+    """
+
+    call_id: int
+    workspace: str
+
+
 class CompletionAck(msgspec.Struct, kw_only=True, array_like=True, tag=25):
     """Acknowledges a :class:`PlacementCompletion`."""
 
--- a/packages/core/src/tanagerreach_core/_target_state.py
+++ b/packages/core/src/tanagerreach_core/_target_state.py
@@ -3,6 +3,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from ._expected_work import TargetWork
 from ._failure_estimator import FailureEstimator
 from ._outcomes import FAILURES, Outcome
 from ._placement_messages import TargetNotice
@@ -10,6 +11,7 @@
 from ._start_time_fair_queue import WaitingRequest
 from ._target_limit import TargetLimit
 from ._target_notices import PAUSE_MAX_S
+from ._work_distribution import WorkDistribution
 
 # Share of a cold target's announced rate that is used, since the target may count its requests in
 # windows that begin at other times.
@@ -27,6 +29,9 @@
 LOAD_WEIGHT = 0.15
 DISTANCE_WEIGHT = 0.06
 LATENCY_WEIGHT = 0.05
+# Bounds on what a slow target, and the work left at one, add to its cost.
+SLOWNESS_MAX = 4.0
+WORK_LOAD_MAX = 2.0
 # A target that got no request since it joined is preferred for the next retryable request, and
 # after a pause for any request, so that it shares the load.
 UNTRIED_PREFERENCE = 0.4
@@ -52,6 +57,7 @@
     :param cold_rate_per_s: requests per second that it can take while it is cold.
     :param started_ms: its start time by its own clock, 0 when unknown; distinguishes its runs.
     :param is_listed: whether the latest list of targets has it.
+    :param software_version: version of its software, empty when unknown.
     """
 
     name: str
@@ -62,15 +68,20 @@
     cold_rate_per_s: float = 0.0
     started_ms: int = 0
     is_listed: bool = True
+    software_version: str = ""
 
 
 @dataclass(slots=True, kw_only=True)
 class PlacedRequest:
-    """A request that was placed at a target."""
+    """A request that was placed at a target.
+
+    :param work: distribution of its work, ``None`` while placement ignores it.
+    """
 
     request: WaitingRequest
     target: str
     started_s: float
+    work: WorkDistribution | None = None
 
 
 @dataclass(slots=True, kw_only=True)
@@ -104,6 +115,10 @@
     """Whether the target says that it takes no new requests."""
     responded_s: float = float("-inf")
     """Time of its latest response."""
+    work: TargetWork | None = None
+    """Slowness and work left, ``None`` while placement ignores them."""
+    slowness_step: int = 0
+    """Step of the slowness in the costs of late responses."""
 
     def _record_unreachable(self, requester: str, now_s: float) -> bool:
         """Record that an instance could not connect.
@@ -212,11 +227,17 @@
 
     def is_reachable(self, requester: str, now_s: float) -> bool:
         """Return whether an instance may get placements here."""
+        if not self._unreachable_until_s and not self._paused_until_s:
+            return True
         until_s = max(
             self._unreachable_until_s.get(requester, 0.0), self._paused_until_s.get(requester, 0.0)
         )
         return now_s >= until_s
 
+    def is_up(self, requester: str, now_s: float) -> bool:
+        """Return whether an instance could connect at its latest try."""
+        return self.is_reachable(requester, now_s) and now_s >= self.failure_estimator.down_until_s
+
     def is_idle(self, for_s: float, now_s: float) -> bool:
         """Return whether the target is up and got no request for longer than ``for_s``."""
         return now_s - self._latest_start_s > for_s and now_s >= self.failure_estimator.down_until_s
@@ -240,9 +261,10 @@
         for placed in self.in_flight.values():
             elapsed_s = now_s - placed.started_s
             recovered_s = placed.started_s + RECOVERED_AFTER_S
-            if elapsed_s <= latency.mean_s or self.has_served_since(recovered_s):
+            usual = placed.work or latency
+            if elapsed_s <= usual.mean_s or self.has_served_since(recovered_s):
                 continue
-            late_share = latency.late_share(elapsed_s)
+            late_share = usual.late_share(elapsed_s)
             when_failing = probability * (HANGING_SHARE + (1 - HANGING_SHARE) * late_share)
             probability = when_failing / (when_failing + (1 - probability) * late_share)
         return probability
@@ -294,10 +316,18 @@
         :param usual_s: mean latency of the service.
         """
         spec = self.spec
+        work = self.work
         load = len(self.in_flight) / max(1, spec.slot_count)
-        cost = LOAD_WEIGHT * load * load
-        if self.failure_estimator.mean_latency_s and usual_s:
-            cost += LATENCY_WEIGHT * min(4.0, self.failure_estimator.mean_latency_s / usual_s)
+        if work is None:
+            slowness = self.failure_estimator.mean_latency_s / usual_s if usual_s else 0.0
+        else:
+            work.evaluate(self.in_flight.values(), usual_s, now_s)
+            slowness, self.slowness_step = work.slowness, work.slowness_step
+            # Requests that are nearly done still hold their slots, and fail with their target.
+            left = work.left_s / (max(1, spec.slot_count) * usual_s)
+            if left > load:
+                load = min(WORK_LOAD_MAX, left)
+        cost = LOAD_WEIGHT * load * load + LATENCY_WEIGHT * min(SLOWNESS_MAX, slowness)
         if self.is_cold(now_s):
             cost += LOAD_WEIGHT
         if spec.cold_rate_per_s > 0:
--- a/packages/core/src/tanagerreach_core/messages.py
+++ b/packages/core/src/tanagerreach_core/messages.py
@@ -38,9 +38,11 @@
     PlacementState,
     QuotaReply,
     QuotaRequest,
+    QuotaReturn,
     RefusalCause,
     RefusalNotice,
 )
+from ._rollout_messages import RolloutProgress, RoutedPlacementRequest
 from ._slots import SlotSet
 
 __all__ = [
@@ -70,10 +72,13 @@
     "PlacementState",
     "QuotaReply",
     "QuotaRequest",
+    "QuotaReturn",
     "RefusalCause",
     "RefusalNotice",
     "ServiceReply",
     "ServiceReport",
+    "RolloutProgress",
+    "RoutedPlacementRequest",
     "SlotSet",
     "TargetReport",
     "TargetState",
--- a/packages/daemon/src/tanagerreachd/gateway/_application.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_application.py
@@ -22,6 +22,7 @@
 
 from .. import _clock
 from .._caller_body import CallerBody, CallerBodyError, body_refusal
+from .._caller_connections import RequestRoom
 from .._caller_watch import CallerDisconnectedError, CallerWatch
 from .._http_head import environ_key
 from .._proxy_refusals import starting
@@ -51,6 +52,9 @@
 # while the caller sends.
 BUFFERED_BODY_BYTES = 1024 * 1024
 BODY_PART_TIMEOUT_S = 5.0
+# Held while a response is passed on: its first part, the current one, and what the kernel has
+# received of the next.
+PASSED_ON_RESPONSE_BYTES = 192 * 1024
 # Time for the response to reach the caller before its deadline.
 RESPONSE_MARGIN_S = 0.03
 # A request that may not be retried reuses a connection only if that was idle for no longer; see
@@ -71,6 +75,8 @@
     :param resolver: returns the resolver of the configuration in force, ``None`` before there is
         one.
     :param limits: returns the caller limits in force.
+    :param places_by_cost: whether a service's requests are placed by their expected cost.
+    :param is_rolled_out: returns whether a version of a service is to be rolled out.
     """
 
     def __init__(
@@ -86,7 +92,11 @@
         watch: CallerWatch,
         traffic: TrafficCounts,
         log: RequestLog,
+        places_by_cost: Callable[[str], bool] = lambda service: False,
+        is_rolled_out: Callable[[str], bool] = lambda service: False,
     ) -> None:
+        self._places_by_cost = places_by_cost
+        self._is_rolled_out = is_rolled_out
         self._traffic = traffic
         self._own_data_centre = own_data_centre
         self._dialect = dialect
@@ -127,6 +137,7 @@
             took_s = _clock.now_s() - arrived_s
             self._log.caller_disconnected(request_id, took_s, broken_by=error.broken_by)
             raise
+        self._hold_response(environ["tanagerreach.room"], response)
         environ["tanagerreach.on_not_sent"] = partial(
             self._log.response_not_sent, request, response.status
         )
@@ -142,6 +153,20 @@
             )
         return [response.body] if response.body else []
 
+    @staticmethod
+    def _hold_response(room: RequestRoom, response: UpstreamResponse) -> None:
+        """Take room for a response until its caller has read it.
+
+        :raises CallerDisconnectedError: when the caller's connection has to give way.
+        """
+        if response.stream is None:
+            has_room = not response.body or room.take(len(response.body), is_due=True)
+        else:
+            has_room = room.take(PASSED_ON_RESPONSE_BYTES, descriptors=1, is_due=True)
+        if not has_room:
+            _close(response)
+            raise CallerDisconnectedError
+
     # Checks
 
     def _accept(self, environ: dict[str, Any], request_id: str, arrived_s: float) -> GatewayRequest:
@@ -164,6 +189,7 @@
             limit_bytes=limits.body_bytes,
             part_time_limit_s=BODY_PART_TIMEOUT_S,
             buffered_bytes=BUFFERED_BODY_BYTES,
+            room=environ["tanagerreach.room"],
         )
         body.check_announced_size()
         caller_deadline_s = arrived_s + caller_wait_s(environ.get(self._deadline_environ_key, ""))
@@ -238,9 +264,26 @@
             self._retry_budgets.of(request.service_name).record_first_try(_clock.now_s())
             self._take_quota(request)
             return self._try_targets(request)
+        except RefusalError as refusal:
+            if self._return_quota(request):
+                refusal.inputs["quota_returned"] = True
+            raise
+        except BaseException:
+            self._return_quota(request)
+            raise
         finally:
             request.end_watch()
 
+    def _return_quota(self, request: GatewayRequest) -> bool:
+        """Return the unit of quota of a request that is given up and has certainly not run.
+
+        :returns: false when it took none, or may have run.
+        """
+        if request.quota_unit is None or request.may_have_run:
+            return False
+        self._placement_client.return_quota(request.quota_unit)
+        return True
+
     def _begin_watch(self, request: GatewayRequest) -> None:
         """Cancel the request when its caller disconnects, until the watch is ended.
 
@@ -255,8 +298,11 @@
     def _take_quota(self, request: GatewayRequest) -> None:
         if request.workspace is None:
             return
-        reply = self._placement_client.take_quota(request.workspace_name)
-        if not reply.is_granted:
+        unit = self._placement_client.take_quota(request.workspace_name)
+        reply = unit.reply
+        if reply.is_granted:
+            request.quota_unit = unit
+        else:
             name = request.service_name
             self._placement_client.report_refusal(name)
             raise RefusalError(
@@ -372,6 +418,8 @@
             self._own_data_centre,
             _clock.now_s(),
             accepts_stale=accepts_stale,
+            tells_work=self._places_by_cost(request.service_name),
+            names_route=self._is_rolled_out(request.service_name),
         )
 
     def _check_placement(self, request: GatewayRequest, placement: Placement) -> None:
--- a/packages/daemon/src/tanagerreachd/gateway/_home_server.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_home_server.py
@@ -14,11 +14,14 @@
     PlacementState,
     QuotaReply,
     QuotaRequest,
+    QuotaReturn,
 )
 from tanagerreach_core.placement import (
     CrashStreaks,
     PeerTable,
     PlacementTarget,
+    QuotaGrants,
+    RolloutFacts,
     ServicePlacement,
     TargetNotice,
     WorkspaceQuota,
@@ -31,6 +34,7 @@
 
 from .. import _clock
 from .._logs import InstanceLog
+from ._rollout_controller import RolloutController
 from ._target_directory import KnownTarget, TargetDirectory
 
 MS_PER_S = 1000.0
@@ -71,6 +75,8 @@
     :param list_age_ms: age of the directory, for logs.
     :param floor_share: minimum share of a service's targets to keep in use, from 0 to 1.
     :param crashes: requests that may crash targets, as this instance knows them.
+    :param places_by_cost: whether a service's requests are placed by their expected cost.
+    :param rollouts: roll-outs of services' versions, ``None`` when versions are not distinguished.
     """
 
     def __init__(
@@ -86,7 +92,11 @@
         heartbeat_s: float,
         crashes: CrashStreaks,
         log: InstanceLog,
+        places_by_cost: Callable[[str], bool] = lambda service: False,
+        rollouts: RolloutController | None = None,
     ) -> None:
+        self._places_by_cost = places_by_cost
+        self._rollouts = rollouts
         self._crashes = crashes
         self._resolver = resolver
         self._peer_table = peer_table
@@ -99,6 +109,7 @@
         self._services: dict[str, ServicePlacement] = {}
         self._waiting: dict[str, dict[tuple[str, int], ReplyCallback]] = {}
         self._quota = WorkspaceQuota()
+        self._quota_grants = QuotaGrants()
         self._list_age_ms = list_age_ms
         self._last_request_s: dict[str, float] = {}
         self._work: dict[str, _Work] = {}
@@ -175,10 +186,15 @@
             service.record_refusal(_clock.now_s())
 
     def take_quota(
-        self, quota_request: QuotaRequest, *, own_share: float | None = None
+        self,
+        quota_request: QuotaRequest,
+        *,
+        requester: str = "",
+        own_share: float | None = None,
     ) -> QuotaReply:
         """Reply to a request for one unit of a workspace's quota.
 
+        :param requester: instance that requests it, empty for this one.
         :param own_share: share of the rate that may be issued here when this instance decides
             alone; by default the share of the fleet that uses it as the workspace's home.
         """
@@ -187,6 +203,9 @@
         limit = None if resolver is None else resolver.limit_of(workspace)
         if limit is None:
             return QuotaReply(call_id=quota_request.call_id, is_granted=True)
+        key = (requester, quota_request.call_id)
+        if key in self._quota_grants:
+            return QuotaReply(call_id=quota_request.call_id, is_granted=True)
         now_s = _clock.now_s()
         rendezvous_key = workspace_rendezvous_key(workspace)
         fleet_share = lent_share = own_share
@@ -201,6 +220,8 @@
             lent_share=lent_share,
             is_disputed=self._peer_table.has_competing_home(rendezvous_key, now_s),
         )
+        if wait_s == 0:
+            self._quota_grants.record(key, now_s)
         return QuotaReply(
             call_id=quota_request.call_id,
             is_granted=wait_s == 0,
@@ -209,6 +230,11 @@
             fleet_percent=round(100 * lent_share),
         )
 
+    def take_back_quota(self, message: QuotaReturn, *, requester: str = "") -> None:
+        """Take back a unit of a workspace's quota whose request did not run."""
+        if self._quota_grants.take_back((requester, message.call_id), _clock.now_s()):
+            self._quota.give_back(message.workspace)
+
     def digests(self, now_s: float) -> list[FailureDigest]:
         """Return failure digests of the services for which this instance acts as the home."""
         return [
@@ -236,6 +262,9 @@
             del self._services[name]
             self._last_request_s.pop(name, None)
             self._received_digests.pop(name, None)
+        now_s = _clock.now_s()
+        for name, service in self._services.items():
+            service.set_places_by_cost(self._places_by_cost(name), now_s)
         self.targets_changed()
 
     def targets_changed(self) -> None:
@@ -245,6 +274,18 @@
             service.configure(self._targets(name, now_s), now_s)
             self._dispatch_waiting(name, service, now_s)
 
+    def select_versions(self, name: str) -> None:
+        """Use the targets of the versions of a service that may get requests now."""
+        service = self._services.get(name)
+        if service is not None:
+            service.select_versions()
+            self._dispatch_waiting(name, service, _clock.now_s())
+
+    def rollout_facts(self, name: str) -> RolloutFacts | None:
+        """Return the state of a service for its roll-out, ``None`` if it is not placed here."""
+        service = self._services.get(name)
+        return None if service is None else service.rollout_facts(_clock.now_s())
+
     def run(self) -> None:
         """Dispatch queued requests once, then wait for the next interval."""
         now_s = _clock.now_s()
@@ -282,6 +323,8 @@
                 request_count=work.request_count,
                 decision_ms=int(1000 * work.decision_s),
                 waiting_count=load.waiting_count,
+                overdue_count=load.overdue_count,
+                awaited_count=load.awaited_count,
                 in_flight_count=load.in_flight_count,
                 unserved_percent=round(100 * load.unserved_share),
                 failed_percent=round(100 * load.failed_share),
@@ -310,6 +353,10 @@
         if service is None:
             service = self._add_service(placement_request.service, now_s)
         self._last_request_s[placement_request.service] = now_s
+        if self._rollouts is not None:
+            self._rollouts.record_use(
+                placement_request.service, is_home=not placement_request.is_decided_alone
+            )
         key = (requester, placement_request.call_id)
         work = self._work.setdefault(placement_request.service, _Work())
         work.request_count += 1
@@ -334,10 +381,13 @@
 
     def _add_service(self, name: str, now_s: float) -> ServicePlacement:
         service = self._services[name] = ServicePlacement(
-            floor_share=self._floor_share, crashes=self._crashes
+            floor_share=self._floor_share,
+            crashes=self._crashes,
+            versions=None if self._rollouts is None else self._rollouts.versions_of(name),
         )
         self._waiting[name] = {}
         self._set_shares(name, service, now_s)
+        service.set_places_by_cost(self._places_by_cost(name), now_s)
         service.configure(self._targets(name, now_s), now_s)
         received_digest = self._received_digests.get(name)
         digest_age_s = None if received_digest is None else now_s - received_digest[1]
@@ -348,6 +398,7 @@
             service=name,
             target_count=len(self._directory),
             digest_age_s=None if digest_age_s is None else round(digest_age_s, 2),
+            by_cost=self._places_by_cost(name),
         )
         return service
 
@@ -380,6 +431,7 @@
                 cold_rate_per_s=cold_rate_per_s,
                 started_ms=known.target.started_ms,
                 is_listed=known.is_listed,
+                software_version=known.target.software_version,
             )
             for known in self._directory.of_service(service)
             if known.target.data_centre not in self._out_data_centres
--- a/packages/daemon/src/tanagerreachd/gateway/_instance.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_instance.py
@@ -8,7 +8,6 @@
 
 import gevent
 from gevent.event import Event
-from gevent.pywsgi import WSGIServer
 from tanagerreach_core.config import Resolver
 from tanagerreach_core.messages import (
     CompletionAck,
@@ -22,14 +21,23 @@
     PlacementRequest,
     QuotaReply,
     QuotaRequest,
+    QuotaReturn,
     RefusalNotice,
+    RolloutProgress,
+    RoutedPlacementRequest,
+)
+from tanagerreach_core.placement import (
+    TICK_S,
+    CrashStreaks,
+    PeerChange,
+    PeerTable,
+    services_placed_by_cost,
 )
-from tanagerreach_core.placement import TICK_S, CrashStreaks, PeerChange, PeerTable
 from tanagerreach_core.rights import service_rendezvous_key
 
 from .. import _clock
 from .._caller_watch import CallerWatch
-from .._http_server import CallerServer, HttpLimits, NoDelayHandler
+from .._http_server import CallerServer, HttpLimits
 from .._listeners import binding
 from .._logs import InstanceLog
 from .._loops import Loops
@@ -40,6 +48,7 @@
 from .._timeline import HybridClock
 from .._upstream import UpstreamClient
 from ._application import GatewayApplication
+from ._caller_rooms import CallerRooms
 from ._dialect import Dialect
 from ._followers import OperatorStateFollower, TargetFollower
 from ._home_server import HomeServer
@@ -55,6 +64,7 @@
 from ._placement_client import PlacementClient
 from ._request_log import RequestLog
 from ._retry_budgets import RetryBudgets
+from ._rollout_controller import RolloutController
 from ._settings import GatewaySettings
 from ._sources import CallerLimits, OperatorState, Platform
 from ._store_position import era_of
@@ -81,6 +91,7 @@
 SWEEP_INTERVAL_S = 2.0
 LOAD_REPORT_INTERVAL_S = 1.0
 TRAFFIC_REPORT_INTERVAL_S = 5.0
+CLOSES_REPORT_INTERVAL_S = 2.0
 DEFAULT_LIMITS = CallerLimits(
     header_bytes=16 * 1024, body_bytes=64 * 1024 * 1024, header_time_s=3.0, idle_time_s=15.0
 )
@@ -111,6 +122,7 @@
         self._is_ready_logged = False
         self._started_s = _clock.now_s()
         self._resolver: Resolver | None = None
+        self._placed_by_cost: frozenset[str] = frozenset()
         self._decodes_paths = dialect.decodes_paths
         self._limits = DEFAULT_LIMITS
         self._loops = Loops(on_failure=log.failure)
@@ -211,6 +223,14 @@
 
     def _build_homes(self) -> None:
         self._crashes = CrashStreaks(own_name=self._settings.instance_name)
+        self._rollouts = RolloutController(
+            platform=self._platform,
+            limits=self._settings.rollout_limits,
+            on_change=lambda service: self._homes.select_versions(service),
+            facts_of=lambda service: self._homes.rollout_facts(service),
+            metrics=self._metrics,
+            log=self._log,
+        )
         self._homes = HomeServer(
             resolver=lambda: self._resolver,
             peer_table=self._peer_table,
@@ -222,6 +242,8 @@
             heartbeat_s=self._settings.target_heartbeat_s,
             crashes=self._crashes,
             log=self._log,
+            places_by_cost=lambda service: service in self._placed_by_cost,
+            rollouts=self._rollouts,
         )
         self._retry_budgets = RetryBudgets(
             allowance=self._settings.retry_allowance,
@@ -241,6 +263,13 @@
     def _build_listeners(self, dialect: Dialect) -> None:
         settings = self._settings
         self._watch = CallerWatch()
+        request_log = RequestLog(log=self._log, metrics=self._metrics)
+        self._rooms = CallerRooms(
+            memory_bytes=settings.memory_bytes,
+            max_sockets=settings.max_sockets,
+            metrics=self._metrics,
+            log=self._log,
+        )
         self._upstream = UpstreamClient(
             connect_timeout_s=CONNECT_TIMEOUT_S,
             idle_timeout_s=TARGET_IDLE_TIMEOUT_S,
@@ -256,27 +285,33 @@
             upstream=self._upstream,
             watch=self._watch,
             traffic=self._traffic,
-            log=RequestLog(log=self._log, metrics=self._metrics),
+            log=request_log,
+            places_by_cost=lambda service: service in self._placed_by_cost,
+            is_rolled_out=self._rollouts.is_ordered,
         )
         self._callers = CallerServer(
             listener=(settings.callers_address.host, settings.callers_address.port),
             application=self._application,
             limits=_http_limits(DEFAULT_LIMITS),
             render_refusal=lambda error: render_minimal(
-                error.status, "request-not-valid", error.detail
-            ),
-            on_refused=lambda error: self._log.info(
-                "request refused", status=error.status, reason=error.detail
+                error.status,
+                "request-not-valid",
+                error.detail,
+                retry_after_s=error.retry_after_s,
             ),
+            on_refused=lambda error: request_log.head_refused(error.status, error.detail),
             on_failure=self._log.failure,
             failure_response=render_failure(),
             handler_class=PipelinedRequest,
+            connections=self._rooms.callers,
         )
-        self._ready_server = _auxiliary_server(
-            (settings.ready_address.host, settings.ready_address.port), self._serve_ready
+        self._ready_server = self._rooms.auxiliary_server(
+            "ready",
+            (settings.ready_address.host, settings.ready_address.port),
+            self._serve_ready,
         )
-        self._metrics_server = _auxiliary_server(
-            (settings.host, settings.metrics_port), self._serve_metrics
+        self._metrics_server = self._rooms.auxiliary_server(
+            "metrics", (settings.host, settings.metrics_port), self._serve_metrics
         )
         self._state_server = PeerStateServer(
             address=(settings.host, settings.peer_http_port),
@@ -284,6 +319,7 @@
                 OPERATOR_PATH: self._operators.listing,
                 TARGET_PATH: self._directory.listing,
             },
+            rooms=self._rooms,
         )
 
     # Start and stop
@@ -308,6 +344,8 @@
         self._loops.start(self._operators.run_watch)
         self._loops.start(self._targets.run)
         self._loops.start(self._homes.run)
+        if settings.rollout_limits is not None:
+            self._loops.start(self._rollouts.run)
         self._loops.start(self._homes.report_load, LOAD_REPORT_INTERVAL_S)
         self._loops.start(self._traffic.report, TRAFFIC_REPORT_INTERVAL_S)
         self._loops.start(self._membership.run_heartbeat)
@@ -315,6 +353,7 @@
         self._loops.start(self._send_digests, DIGEST_INTERVAL_S)
         self._loops.start(self._watch.run)
         self._loops.start(self._sweep, SWEEP_INTERVAL_S)
+        self._loops.start(self._rooms.report, CLOSES_REPORT_INTERVAL_S)
         gevent.spawn(self._membership.register)
 
     def _stop(self) -> None:
@@ -362,9 +401,9 @@
         return [f"{host}:{self._settings.peer_http_port}" for host in hosts if host != own]
 
     def _send_digests(self) -> None:
-        """Send the failure digest of each service homed here to the service's next home."""
+        """Send what the next home of each service homed here needs to take over."""
         now_s = _clock.now_s()
-        for digest in self._homes.digests(now_s):
+        for digest in [*self._homes.digests(now_s), *self._rollouts.progress(now_s)]:
             homes = self._peer_table.homes(service_rendezvous_key(digest.service), now_s)
             next_home = next((home for home in homes if home is not None), None)
             if next_home is not None:
@@ -400,13 +439,18 @@
             PlacementRequest: lambda name, address, message: homes.place(
                 name, message, lambda reply: send(address, reply)
             ),
+            RoutedPlacementRequest: lambda name, address, message: homes.place(
+                name, message, lambda reply: send(address, reply)
+            ),
             PlacementReply: self._on_placement_reply,
             PlacementCompletion: self._on_placement_completion,
             CompletionAck: lambda _name, _, message: calls.record_ack(message.call_id),
             QuotaRequest: self._on_quota_request,
             QuotaReply: lambda _name, _, message: calls.deliver(message),
+            QuotaReturn: lambda name, _, message: homes.take_back_quota(message, requester=name),
             RefusalNotice: lambda _name, _, message: homes.record_refusal(message.service),
             FailureDigest: lambda _name, _, message: homes.adopt_digest(message),
+            RolloutProgress: lambda _name, _, message: self._rollouts.adopt(message),
         }
 
     def _on_placement_reply(self, _name: str, address: str, message: PlacementReply) -> None:
@@ -421,7 +465,7 @@
 
     def _on_quota_request(self, name: str, address: str, message: QuotaRequest) -> None:
         self._peer_table.record_suspected(name, message.suspected_names)
-        self._link.send(address, self._homes.take_quota(message))
+        self._link.send(address, self._homes.take_quota(message, requester=name))
 
     def _on_peer_state(self, state: PeerState, change: PeerChange, age_s: float) -> None:
         if change.has_lost_store:
@@ -452,12 +496,18 @@
         )
         self._callers.limits = _http_limits(self._limits)
         self._peer_table.own_is_home = not self._is_leaving
+        if self._settings.places_by_cost:
+            self._placed_by_cost = services_placed_by_cost(state.configuration)
+        self._rollouts.apply_orders(
+            order for order in state.rollouts if order.service in state.configuration.services
+        )
         self._homes.apply_configuration(state.configuration)
         self._retry_budgets.drop_all_except(state.configuration.services)
         self._log.info(
             "configuration in force",
             revision=state.configuration.revision,
             version=state.version,
+            placed_by_cost=sorted(self._placed_by_cost),
             data_centres_out=sorted(
                 name for name, item in state.configuration.data_centres.items() if item.out
             ),
@@ -510,10 +560,6 @@
         return [body]
 
 
-def _auxiliary_server(address: tuple[str, int], application: Any) -> WSGIServer:
-    return WSGIServer(address, application, log=None, error_log=None, handler_class=NoDelayHandler)
-
-
 def _http_limits(limits: CallerLimits) -> HttpLimits:
     return HttpLimits(
         header_bytes=limits.header_bytes,
--- a/packages/daemon/src/tanagerreachd/gateway/_request.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_request.py
@@ -2,16 +2,19 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
 from tanagerreach_core.config import RouteMatch, Workspace
-from tanagerreach_core.messages import PlacementRequest
+from tanagerreach_core.messages import PlacementRequest, RoutedPlacementRequest
+from tanagerreach_core.placement import path_shape, work_class
 from tanagerreach_core.traffic import Executed, Outcome, Try, executed, fingerprint
 
 from .._caller_body import CallerBody
 from .._upstream import HOP_BY_HOP_HEADERS
 from ._dialect import Dialect
 from ._late_tries import Replacement
+from ._placement_client import QuotaUnit
 
 MS_PER_S = 1000.0
 # Wait of a caller that sends no deadline.
@@ -32,6 +35,7 @@
     :param excluded_targets: targets that a home assigned but that must not get the request.
     :param late_target: target whose try is late while a replacement is searched, empty without one.
     :param replacement: what replaces the last try.
+    :param quota_unit: unit of the workspace's quota that the request took, ``None`` without one.
     """
 
     environ: dict[str, Any]
@@ -50,6 +54,7 @@
     is_repeat: bool = False
     late_target: str = ""
     replacement: Replacement | None = None
+    quota_unit: QuotaUnit | None = None
     _end_watch: Callable[[], None] | None = None
 
     def begin_watch(self, end_watch: Callable[[], None]) -> None:
@@ -126,9 +131,20 @@
         now_s: float,
         *,
         accepts_stale: bool,
+        tells_work: bool = False,
+        names_route: bool = False,
     ) -> PlacementRequest:
-        """Build the placement request."""
-        return PlacementRequest(
+        """Build the placement request.
+
+        :param tells_work: whether the home places requests by their expected cost.
+        :param names_route: whether the home is to know the request's route.
+        """
+        build = (
+            partial(RoutedPlacementRequest, route=self.match.route.name)
+            if names_route
+            else PlacementRequest
+        )
+        return build(
             call_id=call_id,
             service=self.service_name,
             workspace=self.workspace_name,
@@ -142,8 +158,17 @@
             excluded=self._excluded(),
             accepts_stale=accepts_stale,
             is_in_flight=bool(self.late_target),
+            work_class=self._work_class() if tells_work else 0,
+            path_shape=path_shape(self.raw_target) if tells_work else 0,
+            urgency=self.match.route.priority,
+            tried=[entry.target for entry in self.tries],
         )
 
+    def _work_class(self) -> int:
+        body = self.body
+        body_bytes = body.content_length if body.buffered is None else len(body.buffered)
+        return work_class(self.match.route.name, self.method, body_bytes)
+
     def _excluded(self) -> list[str]:
         excluded = [entry.target for entry in self.tries] + self.excluded_targets
         return [*excluded, self.late_target] if self.late_target else excluded
--- a/packages/daemon/tests/test_gateway_homes.py
+++ b/packages/daemon/tests/test_gateway_homes.py
@@ -11,6 +11,7 @@
     PlacementRequest,
     PlacementState,
     QuotaRequest,
+    QuotaReturn,
 )
 from tanagerreach_core.placement import CrashStreaks, PeerTable
 from tanagerreach_core.traffic import Outcome
@@ -75,6 +76,7 @@
 
     def setUp(self):
         self.is_current = True
+        self.places_by_cost = False
         self.list_age_ms = 0
         self.log = RecordingLog()
         self.directory = TargetDirectory(decode=decoded, on_skipped=lambda item: None)
@@ -91,6 +93,7 @@
             heartbeat_s=1.5,
             crashes=CrashStreaks(),
             log=self.log,
+            places_by_cost=lambda service: self.places_by_cost,
         )
 
     @staticmethod
@@ -162,6 +165,15 @@
         self.list_age_ms = 0
         self.assertEqual(self.place(placement_request).list_age_ms, 40)
 
+    def test_configuration_does_not_switch_placement_by_cost(self):
+        """Guards against homes that go on as before when a configuration calls for the feature."""
+        reply = self.place(made_placement_request(1, work_class=7))
+        self.assertEqual(reply.expected_work_ms, 0)
+        self.places_by_cost = True
+        self.homes.apply_configuration(self.resolver.configuration)
+        reply = self.place(made_placement_request(2, work_class=7))
+        self.assertGreater(reply.expected_work_ms, 0)
+
     def test_quota_is_counted(self):
         """Guards against requests granted beyond the rate, and refused below it."""
         granted = [self.homes.take_quota(QuotaRequest(call_id=n, workspace="w")) for n in range(5)]
@@ -169,6 +181,18 @@
         other = self.homes.take_quota(QuotaRequest(call_id=9, workspace="unlimited"))
         self.assertTrue(other.is_granted)
 
+    def test_repeated_messages_change_the_quota(self):
+        """Guards against a unit that one request takes twice, or that is taken back twice."""
+        taken = [self.take_quota(1) for _ in range(2)]
+        self.assertEqual(taken, [True, True])
+        for _ in range(2):
+            self.homes.take_back_quota(QuotaReturn(call_id=1, workspace="w"), requester="i1")
+        self.assertEqual([self.take_quota(call_id) for call_id in (2, 3)], [True, False])
+
+    def take_quota(self, call_id):
+        quota_request = QuotaRequest(call_id=call_id, workspace="w")
+        return self.homes.take_quota(quota_request, requester="i1").is_granted
+
 
 class NewEraTest(unittest.TestCase):
     """A directory over the return of the store from an older copy."""
