--- a/packages/cli/src/tanagerreach_cli/__main__.py
+++ b/packages/cli/src/tanagerreach_cli/__main__.py
@@ -25,6 +25,7 @@
     Session,
 )
 from ._view_commands import Check, ShowMetrics, ShowTimeline, Status
+from ._where import Where
 
 EXIT_INTERRUPTED = 130
 MAX_TIME_LIMIT_S = 3600.0
@@ -48,6 +49,7 @@
         | Check
         | ShowMetrics
         | Explain
+        | Where
     ]
     instance: Annotated[
         list[str],
--- a/packages/cli/src/tanagerreach_cli/_session.py
+++ b/packages/cli/src/tanagerreach_cli/_session.py
@@ -76,7 +76,7 @@
         """Client of the fleet, created on first use."""
         if self._client is None:
             self._client = FleetClient(
-                urls=self._instances(),
+                urls=self.instances(),
                 credential=self._credential(),
                 timeout_s=self.options.timeout_s,
             )
@@ -175,7 +175,7 @@
             self.print(str(report))
         return ExitCode.OK if report.is_settled else ExitCode.FAILED
 
-    def _instances(self) -> list[str]:
+    def instances(self) -> list[str]:
         variable = os.environ.get(INSTANCES_VARIABLE, "")
         urls = self.options.instances or [text for text in variable.split(",") if text.strip()]
         if not urls:
--- a/packages/core/src/tanagerreach_core/_placement.py
+++ b/packages/core/src/tanagerreach_core/_placement.py
@@ -25,6 +25,7 @@
     RefusalCause,
     TargetNotice,
 )
+from ._placement_preview import PlacementPreview, candidates
 from ._recent_results import RecentResults
 from ._service_latency import ServiceLatency
 from ._start_time_fair_queue import StartTimeFairQueue, WaitingRequest
@@ -424,6 +425,40 @@
             decisions.append((request, self._finish(request, reply)))
         return decisions
 
+    def preview(
+        self, requester: str, placement_request: PlacementRequest, now_s: float
+    ) -> PlacementPreview:
+        """Return what would be decided on a request, without placing it."""
+        request = WaitingRequest(
+            key=(requester, placement_request.call_id),
+            placement_request=placement_request,
+            arrived_s=now_s,
+            deadline_s=now_s + placement_request.remaining_ms / MS_PER_S,
+            objective_s=now_s + placement_request.objective_ms / MS_PER_S,
+        )
+        self._ranking.evaluate(self._latency, now_s)
+        refusal = self._refusal(request, now_s)
+        highest = self._failure_probability_limit(request, now_s)
+        chosen = None if refusal is not None else self._best(request, highest, now_s)
+        work = self._work_of(placement_request, now_s)
+        return PlacementPreview(
+            service=placement_request.service,
+            home="",
+            home_address="",
+            is_decided_here=True,
+            target="" if chosen is None else chosen.spec.name,
+            refused_by="" if refusal is None else refusal.cause.name.lower(),
+            expected_work_ms=0 if work is None else int(MS_PER_S * work.mean_s),
+            queued_count=len(self._queue),
+            candidates=candidates(
+                self._targets.values(),
+                self._ranking,
+                requester=requester,
+                highest_failure_probability=highest,
+                now_s=now_s,
+            ),
+        )
+
     # Queueing and refusing
 
     def _add(self, request: WaitingRequest) -> None:
@@ -571,7 +606,10 @@
             )
             if idle is not None:
                 return idle
-        highest = self._failure_probability_limit(request, now_s)
+        return self._best(request, self._failure_probability_limit(request, now_s), now_s)
+
+    def _best(self, request: WaitingRequest, highest: float, now_s: float) -> TargetState | None:
+        """Return the target that costs least, with a failure probability up to the highest."""
         if not self._ranking.has_slow:
             return self._ranking.best(request, highest, now_s)
         work = self._work_of(request.placement_request, now_s)
--- a/packages/core/src/tanagerreach_core/operator_responses.py
+++ b/packages/core/src/tanagerreach_core/operator_responses.py
@@ -10,6 +10,7 @@
     TimelineEntry,
     TimelineResponse,
 )
+from ._placement_preview import PlacementPreview, TargetCandidate
 
 __all__ = [
     "ChangesResponse",
@@ -17,7 +18,9 @@
     "FleetStatus",
     "InstanceStatus",
     "ObjectsResponse",
+    "PlacementPreview",
     "RefusalResponse",
+    "TargetCandidate",
     "TimelineEntry",
     "TimelineResponse",
 ]
--- a/packages/daemon/src/tanagerreachd/gateway/_home_server.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_home_server.py
@@ -15,6 +15,7 @@
     QuotaReply,
     QuotaRequest,
 )
+from tanagerreach_core.operator_responses import PlacementPreview
 from tanagerreach_core.placement import (
     CrashStreaks,
     PeerTable,
@@ -171,6 +172,15 @@
                 pause_s=notice.pause_s,
             )
 
+    def preview(self, requester: str, placement_request: PlacementRequest) -> PlacementPreview:
+        """Return what would be decided on a request to a service that is homed here."""
+        self._keep_targets_current()
+        now_s = _clock.now_s()
+        service = self._services.get(placement_request.service)
+        if service is None:
+            service = self._add_service(placement_request.service, now_s)
+        return service.preview(requester, placement_request, now_s)
+
     def record_refusal(self, name: str) -> None:
         """Record that an instance refused a request to a service without a placement request."""
         service = self._services.get(name)
--- a/packages/daemon/src/tanagerreachd/gateway/_instance.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_instance.py
@@ -59,6 +59,7 @@
 )
 from ._pipelined_requests import PipelinedRequest
 from ._placement_client import PlacementClient
+from ._placement_previews import PREVIEW_PATH, PlacementPreviews
 from ._request_log import RequestLog
 from ._retry_budgets import RetryBudgets
 from ._settings import GatewaySettings
@@ -277,6 +278,16 @@
         self._ready_server = _auxiliary_server(
             (settings.ready_address.host, settings.ready_address.port), self._serve_ready
         )
+        self._previews = PlacementPreviews(
+            own_name=settings.instance_name,
+            data_centre=settings.data_centre,
+            host=settings.host,
+            metrics_port=settings.metrics_port,
+            resolver=lambda: self._resolver,
+            peer_table=self._peer_table,
+            homes=self._homes,
+            places_by_cost=lambda service: service in self._placed_by_cost,
+        )
         self._metrics_server = _auxiliary_server(
             (settings.host, settings.metrics_port), self._serve_metrics
         )
@@ -499,6 +510,8 @@
         return []
 
     def _serve_metrics(self, environ: dict[str, Any], start_response: Any) -> list[bytes]:
+        if environ["PATH_INFO"] == PREVIEW_PATH:
+            return self._previews(environ, start_response)
         body = self._metrics.to_prometheus().encode()
         start_response(
             "200 OK", [("Content-Type", "text/plain"), ("Content-Length", str(len(body)))]
