Spend less processor time on placement by cost

Work left is computed when requests start or end and each 0.2 s, distributions each second; the shares of the latency classes are rebuilt in one pass, with the same results.

--- a/packages/core/src/tanagerreach_core/_expected_work.py
+++ b/packages/core/src/tanagerreach_core/_expected_work.py
@@ -19,6 +19,8 @@
 SPEED_HALF_LIFE_S = 6.0
 # The slowness is computed at each response, and at this interval without one.
 SLOWNESS_INTERVAL_S = 0.5
+# The work left changes slowly with time alone.
+EVALUATION_INTERVAL_S = 0.2
 # A request counts for at most this many times its expectation in its target's slowness.
 SLOWNESS_SAMPLE_MAX = 4.0
 SLOWNESS_MIN = 0.25
@@ -93,11 +95,21 @@
 class TargetWork:
     """Slowness of one target and the work that is left there."""
 
-    __slots__ = ("_expected_s", "_seen_s", "_updated_s", "left_s", "slowness", "slowness_step")
+    __slots__ = (
+        "_evaluated_count",
+        "_evaluated_s",
+        "_expected_s",
+        "_seen_s",
+        "_updated_s",
+        "left_s",
+        "slowness",
+        "slowness_step",
+    )
 
     def __init__(self, *, now_s: float) -> None:
         self._expected_s = self._seen_s = 0.0
-        self._updated_s = now_s
+        self._updated_s = self._evaluated_s = now_s
+        self._evaluated_count = 0
         self.left_s = 0.0
         """Sum of the expected rests of the requests that run there, at the latest evaluation."""
         self.slowness = 1.0
@@ -111,20 +123,23 @@
         :param mean_s: mean latency of the service.
         """
         self._expected_s += expected_s
-        self._seen_s += min(latency_s, SLOWNESS_SAMPLE_MAX * expected_s)
+        most_s = SLOWNESS_SAMPLE_MAX * expected_s
+        self._seen_s += latency_s if latency_s < most_s else most_s
         self._update(mean_s, now_s)
 
     def evaluate(self, in_flight: Collection[RunningRequest], mean_s: float, now_s: float) -> None:
-        """Compute the work left.
+        """Compute the work left, if a request started or ended or the latest result is old.
 
         :param in_flight: requests that run at the target.
         :param mean_s: mean latency of the service.
         """
+        count = len(in_flight)
+        if count == self._evaluated_count and now_s - self._evaluated_s < EVALUATION_INTERVAL_S:
+            return
+        self._evaluated_count = count
+        self._evaluated_s = now_s
         if now_s - self._updated_s >= SLOWNESS_INTERVAL_S:
             self._update(mean_s, now_s)
-        self.left_s = 0.0
-        if not in_flight:
-            return
         slowness = self.slowness
         left_s = 0.0
         for running in in_flight:
--- a/packages/core/src/tanagerreach_core/_placement.py
+++ b/packages/core/src/tanagerreach_core/_placement.py
@@ -291,7 +291,7 @@
         if outcome is not Outcome.TIMEOUT or is_conclusive:
             compared_s = latency_s
             if placed.work is not None:
-                compared_s *= self.service_time_s / placed.work.mean_s
+                compared_s *= self._latency.mean_s / placed.work.mean_s
             state.observe(key[0], outcome, compared_s, self.service_time_s, now_s)
         if outcome is Outcome.SUCCESS:
             self._record_work(placed, state, latency_s, now_s)
@@ -317,9 +317,9 @@
         self, placed: PlacedRequest, state: TargetState, latency_s: float, now_s: float
     ) -> None:
         """Record the latency of a request that got its response."""
-        if self._work is None or state.work is None or placed.work is None:
+        if state.work is None or placed.work is None:
             return
-        state.work.record(placed.work.mean_s, latency_s, self.service_time_s, now_s)
+        state.work.record(placed.work.mean_s, latency_s, self._latency.mean_s, now_s)
         placed.work.record(latency_s, now_s)
 
     def record_notice(
--- a/packages/core/src/tanagerreach_core/_service_latency.py
+++ b/packages/core/src/tanagerreach_core/_service_latency.py
@@ -51,8 +51,10 @@
         """Record the latency of a successful request."""
         number = bisect.bisect_left(CLASS_LIMITS_S, latency_s)
         shares = self._late_shares
-        for index in range(len(shares)):
-            shares[index] += CLASS_WEIGHT * ((index < number) - shares[index])
+        self._late_shares = [
+            *[share + CLASS_WEIGHT * (1 - share) for share in shares[:number]],
+            *[share + CLASS_WEIGHT * (0 - share) for share in shares[number:]],
+        ]
         self.mean_s += MEAN_WEIGHT * (latency_s - self.mean_s)
         step_s = HIGH_STEP_RATIO * self.mean_s
         if latency_s > self._high_s:
--- a/packages/core/src/tanagerreach_core/_work_distribution.py
+++ b/packages/core/src/tanagerreach_core/_work_distribution.py
@@ -18,7 +18,7 @@
 HALF_LIFE_S = 20.0
 SAMPLES_MAX = 400.0
 # Samples change the figures that decisions use at this interval.
-UPDATE_INTERVAL_S = 0.5
+UPDATE_INTERVAL_S = 1.0
 # A request that has run longer than all known ones is expected to take this share of its age more.
 UNKNOWN_REST_SHARE = 0.25
 
