--- a/packages/core/src/tanagerreach_core/_placement.py
+++ b/packages/core/src/tanagerreach_core/_placement.py
@@ -28,6 +28,7 @@
     RefusalCause,
     TargetNotice,
 )
+from ._placement_preview import PlacementPreview, candidates
 from ._recent_results import RecentResults
 from ._refused_requests import RefusedRequests
 from ._rollout import RolloutFacts
@@ -382,7 +383,7 @@
         if outcome is not Outcome.TIMEOUT or is_conclusive:
             compared_s = latency_s
             if placed.work is not None:
-                compared_s *= self.service_time_s / placed.work.mean_s
+                compared_s *= self._latency.mean_s / placed.work.mean_s
             state.observe(key[0], outcome, compared_s, self.service_time_s, now_s)
         if outcome is Outcome.SUCCESS:
             self._record_work(placed, state, latency_s, now_s)
@@ -411,9 +412,9 @@
         self, placed: PlacedRequest, state: TargetState, latency_s: float, now_s: float
     ) -> None:
         """Record the latency of a request that got its response."""
-        if self._work is None or state.work is None or placed.work is None:
+        if state.work is None or placed.work is None:
             return
-        state.work.record(placed.work.mean_s, latency_s, self.service_time_s, now_s)
+        state.work.record(placed.work.mean_s, latency_s, self._latency.mean_s, now_s)
         placed.work.record(latency_s, now_s)
 
     def record_notice(
@@ -519,6 +520,40 @@
             decisions.append((request, self._finish(request, reply, now_s)))
         return decisions
 
+    def preview(
+        self, requester: str, placement_request: PlacementRequest, now_s: float
+    ) -> PlacementPreview:
+        """Return what would be decided on a request, without placing it."""
+        request = WaitingRequest(
+            key=(requester, placement_request.call_id),
+            placement_request=placement_request,
+            arrived_s=now_s,
+            deadline_s=now_s + placement_request.remaining_ms / MS_PER_S,
+            objective_s=now_s + placement_request.objective_ms / MS_PER_S,
+        )
+        self._ranking.evaluate(self._latency, now_s)
+        refusal = self._refusal(request, now_s)
+        highest = self._failure_probability_limit(request, now_s)
+        chosen = None if refusal is not None else self._best(request, highest, now_s)
+        work = self._work_of(placement_request, now_s)
+        return PlacementPreview(
+            service=placement_request.service,
+            home="",
+            home_address="",
+            is_decided_here=True,
+            target="" if chosen is None else chosen.spec.name,
+            refused_by="" if refusal is None else refusal.cause.name.lower(),
+            expected_work_ms=0 if work is None else int(MS_PER_S * work.mean_s),
+            queued_count=len(self._queue),
+            candidates=candidates(
+                self._targets.values(),
+                self._ranking,
+                requester=requester,
+                highest_failure_probability=highest,
+                now_s=now_s,
+            ),
+        )
+
     # Queueing and refusing
 
     def _class_time_s(self, placement_request: PlacementRequest) -> float:
@@ -709,7 +744,10 @@
             )
             if idle is not None:
                 return idle
-        highest = self._failure_probability_limit(request, now_s)
+        return self._best(request, self._failure_probability_limit(request, now_s), now_s)
+
+    def _best(self, request: WaitingRequest, highest: float, now_s: float) -> TargetState | None:
+        """Return the target that costs least, with a failure probability up to the highest."""
         if not self._ranking.has_slow:
             return self._ranking.best(request, highest, now_s)
         work = self._work_of(request.placement_request, now_s)
