Probe idle targets by retryable requests while some are not served

The existing floor counts all targets of the service, but most of them don't count as sound while their links are harmed, which a home cannot see. The requests that weren't served were over a quota.

While more than 2 % of the requests are not served and no more than a tenth fail at targets, up to a tenth go to targets that were idle for 1.5 s, if they may be retried and have time for it.

--- a/packages/core/src/tanagerreach_core/_placement.py
+++ b/packages/core/src/tanagerreach_core/_placement.py
@@ -28,6 +28,7 @@
     TargetNotice,
 )
 from ._recent_results import RecentResults
+from ._recovery_probes import RecoveryProbes
 from ._refused_requests import RefusedRequests
 from ._service_latency import ServiceLatency
 from ._start_time_fair_queue import StartTimeFairQueue, WaitingRequest
@@ -53,6 +54,11 @@
 LIKELY_FAILING_WAIT_SHARE_MAX = 1.5
 # A queued request is refused when less than this share of the usual latency is left.
 MIN_CLASS_TIME_SHARE = 1 / 4
+# Time that a request needs to probe a target, as a multiple of the usual latency: for a try that
+# fails, a retry, and the wait for its placement.
+PROBE_CLASS_TIMES = 3
+# When more requests fail, they need the retries that probes would use.
+PROBE_FAILED_SHARE_MAX = 0.1
 # A placement without a completion is released this long after its request's deadline.
 LOST_COMPLETION_GRACE_S = 0.5
 LOST_COMPLETION_CHECK_INTERVAL_S = 0.25
@@ -118,6 +124,7 @@
         "_lent_share",
         "_user_share",
         "_queued_keys",
+        "_probes",
         "_ranking",
         "_refused",
         "_queue",
@@ -147,6 +154,7 @@
         self._latency = ServiceLatency()
         self._class_load = ClassLoad()
         self._refused = RefusedRequests()
+        self._probes = RecoveryProbes()
 
     def __len__(self) -> int:
         return len(self._queue)
@@ -237,6 +245,7 @@
             objective_s=now_s + placement_request.objective_ms / MS_PER_S,
         )
         self._restore_objective(request, now_s)
+        self._probes.record_request()
         refusal = self._refusal(request, now_s)
         if refusal is not None:
             if not placement_request.is_in_flight:
@@ -605,6 +614,10 @@
         elif not request.placement_request.is_in_flight:
             if is_evaluated or self._idle_plan is None:
                 self._idle_plan = self._plan_idle_targets(now_s)
+                self._find_probed_targets(now_s)
+            probed = self._take_probed_target(request, now_s)
+            if probed is not None:
+                return probed
             idle = self._idle_plan.take(
                 lambda state: self._may_use(state, request, now_s),
                 is_retryable=request.placement_request.is_retryable,
@@ -614,6 +627,25 @@
                 return idle
         return self._ranking.best(request, self._failure_probability_limit(request, now_s), now_s)
 
+    def _find_probed_targets(self, now_s: float) -> None:
+        self._probes.evaluate(
+            self._targets.values(),
+            lambda state: self._ranking.failure_probability(state.spec.name),
+            now_s,
+        )
+
+    def _take_probed_target(self, request: WaitingRequest, now_s: float) -> TargetState | None:
+        """Take a target to probe for a request that loses little where it fails."""
+        placement_request = request.placement_request
+        if not placement_request.is_retryable or placement_request.excluded:
+            return None
+        if self._results.failed_share(now_s) > PROBE_FAILED_SHARE_MAX:
+            return None
+        needed_s = PROBE_CLASS_TIMES * self._class_time_s(placement_request)
+        if now_s + needed_s > min(request.objective_s, request.deadline_s):
+            return None
+        return self._probes.take(lambda state: self._may_use(state, request, now_s), now_s)
+
     def _plan_idle_targets(self, now_s: float) -> IdleTargetPlan:
         return IdleTargetPlan(
             self._targets.values(),
