--- a/packages/daemon/src/tanagerreachd/_caller_connections.py
+++ b/packages/daemon/src/tanagerreachd/_caller_connections.py
@@ -164,7 +164,7 @@
             is_due=is_due,
         )
         self._evict(decision)
-        if not decision.is_granted:
+        if not (decision.is_granted or connection.is_evicted):
             self._record("request-refused")
         return decision.is_granted and not connection.is_evicted
 
--- a/packages/daemon/src/tanagerreachd/gateway/_application.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_application.py
@@ -43,7 +43,7 @@
 from ._placement_client import Placement, PlacementClient
 from ._request import GatewayRequest, caller_wait_s
 from ._request_log import RequestLog, placement_inputs
-from ._request_refusals import stopping, tries_failed, unavailable
+from ._request_refusals import body_broke_off, stopping, tries_failed, unavailable
 from ._retry_budgets import RetryBudgets
 from ._sources import CallerLimits
 from ._traffic import TrafficCounts, message_bytes
@@ -127,6 +127,10 @@
             response = self._serve(request)
         except RefusalError as refusal:
             return self._refuse(refusal, environ, request_id, arrived_s, start_response)
+        except CallerBodyError as error:
+            # The body broke off while a target received it.
+            refusal = body_broke_off(error)
+            return self._refuse(refusal, environ, request_id, arrived_s, start_response)
         except CallerDisconnectedError as error:
             took_s = _clock.now_s() - arrived_s
             self._log.caller_disconnected(request_id, took_s, broken_by=error.broken_by)
--- a/packages/daemon/src/tanagerreachd/gateway/_instance.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_instance.py
@@ -270,7 +270,7 @@
                 retry_after_s=error.retry_after_s,
             ),
             on_refused=lambda error: request_log.head_refused(error.status, error.detail),
-            on_failure=self._log.failure,
+            on_failure=request_log.failure,
             failure_response=render_failure(),
             handler_class=PipelinedRequest,
             connections=self._rooms.callers,
--- a/packages/daemon/src/tanagerreachd/gateway/_request_log.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_request_log.py
@@ -104,6 +104,11 @@
         if self._failed.take():
             self._log.info("request refused", status=status, reason=reason)
 
+    def failure(self, error: BaseException) -> None:
+        """Log an unexpected exception."""
+        if self._failed.take():
+            self._log.failure(error)
+
     def placement_decided(self, service: str, placement: Any) -> None:
         """Count a decision on a request's placement."""
         decided_by = "alone" if placement.decided_alone else "home"
--- a/packages/daemon/src/tanagerreachd/gateway/_request_refusals.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_request_refusals.py
@@ -4,6 +4,7 @@
 
 from tanagerreach_core.messages import RefusalCause
 
+from .._caller_body import CallerBodyError
 from .._refusals import Executed, RefusalError
 from .._upstream_errors import ResponseTimeoutError, UpstreamError
 from ._request import GatewayRequest
@@ -43,6 +44,16 @@
     )
 
 
+def body_broke_off(error: CallerBodyError) -> RefusalError:
+    """Build the refusal of a request whose body ended early while a target received it."""
+    return RefusalError(
+        status=HTTPStatus.BAD_GATEWAY,
+        kind="body-broke-off",
+        detail=str(error),
+        executed=Executed.UNKNOWN,
+    )
+
+
 def tries_failed(request: GatewayRequest, failure: UpstreamError | None) -> RefusalError:
     """Build the refusal of a request whose tries all failed."""
     if not request.may_have_run:
