Bound the trailers of a chunked body

pywsgi reads trailers without end and without a switch of greenlets, so that one caller that sent them kept an instance from all others.

BoundedInput and the gateway's application work without a room again, as their tests use them.

--- a/packages/daemon/src/tanagerreachd/_http_server.py
+++ b/packages/daemon/src/tanagerreachd/_http_server.py
@@ -46,6 +46,8 @@
 # A connection lets others run after it has read this many chunks, or this much of a body.
 CHUNKS_PER_TURN = 64
 BYTES_PER_TURN = 256 * 1024
+# Size limit of a chunk's line; also of the trailers, whose number pywsgi does not limit.
+MAX_CHUNK_LINES_BYTES = 16 * 1024
 # Connections that are accepted between two rounds of the event loop.
 MAX_ACCEPTED_AT_ONCE = 16
 # Connections in excess are closed at the end of their responses without waiting for their callers.
@@ -89,14 +91,18 @@
     pywsgi ignores them in extensions and trailers, where another parser may see a line end.
     """
 
-    __slots__ = ("_is_after_cr", "_stream")
+    __slots__ = ("_is_after_cr", "_read_bytes", "_stream")
 
     def __init__(self, stream: Any) -> None:
         self._stream = stream
         self._is_after_cr = False
+        self._read_bytes = 0
 
     def read(self, size_bytes: int) -> bytes:
         data = self._stream.read(size_bytes)
+        self._read_bytes += size_bytes
+        if self._read_bytes > MAX_CHUNK_LINES_BYTES:
+            raise ValueError("a chunk line or the trailers are too long")
         if data == b"\n" and not self._is_after_cr:
             raise ValueError("a chunk line has a LF without CR")
         if data in CHUNK_LINE_CONTROLS:
@@ -114,10 +120,10 @@
 
     __slots__ = ("_turn_share", "_turns", "abandoned")
 
-    def __init__(self, *arguments: Any, turns: Turns, **named: Any) -> None:
+    def __init__(self, *arguments: Any, turns: Turns | None = None, **named: Any) -> None:
         super().__init__(*arguments, **named)
         self.abandoned = False
-        self._turns = turns
+        self._turns = turns or Turns()
         self._turn_share = 0.0
 
     def read(self, length: int | None = None) -> bytes:
--- a/packages/daemon/src/tanagerreachd/gateway/_application.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_application.py
@@ -135,7 +135,7 @@
             took_s = _clock.now_s() - arrived_s
             self._log.caller_disconnected(request_id, took_s, broken_by=error.broken_by)
             raise
-        self._hold_response(environ["tanagerreach.room"], response)
+        self._hold_response(environ.get("tanagerreach.room"), response)
         environ["tanagerreach.on_not_sent"] = partial(
             self._log.response_not_sent, request, response.status
         )
@@ -152,11 +152,14 @@
         return [response.body] if response.body else []
 
     @staticmethod
-    def _hold_response(room: RequestRoom, response: UpstreamResponse) -> None:
+    def _hold_response(room: RequestRoom | None, response: UpstreamResponse) -> None:
         """Take room for a response until its caller has read it.
 
+        :param room: what the request holds, ``None`` without bounds.
         :raises CallerDisconnectedError: when the caller's connection has to give way.
         """
+        if room is None:
+            return
         if response.stream is None:
             has_room = not response.body or room.take(len(response.body), is_due=True)
         else:
@@ -187,7 +190,7 @@
             limit_bytes=limits.body_bytes,
             part_time_limit_s=BODY_PART_TIMEOUT_S,
             buffered_bytes=BUFFERED_BODY_BYTES,
-            room=environ["tanagerreach.room"],
+            room=environ.get("tanagerreach.room"),
         )
         body.check_announced_size()
         caller_deadline_s = arrived_s + caller_wait_s(environ.get(self._deadline_environ_key, ""))
