Take the version that started first for the present one

A home that starts when the targets of the next version are already listed, and more in number, took that version for the present one.

--- a/packages/core/src/tanagerreach_core/_service_versions.py
+++ b/packages/core/src/tanagerreach_core/_service_versions.py
@@ -67,7 +67,10 @@
         return old
 
     def _update_base(self, targets: Targets) -> None:
-        """Keep the present version while a target carries it, else take that of most targets."""
+        """Keep the present version while a target carries it, else choose it anew.
+
+        It is the one whose targets started first, of those that many targets carry.
+        """
         rollout = self.rollout
         to_version = None if rollout is None else rollout.order.to_version
         if rollout is not None and rollout.stage is RolloutStage.COMPLETED:
@@ -79,12 +82,13 @@
             return
         if rollout is not None and carried != {to_version}:
             carried.discard(to_version)
-
-        def rank(version: str) -> tuple[int, float]:
-            group = _of_version(targets, version).values()
-            return len(group), -min(state.spec.started_ms for state in group)
-
-        self.base_version = max(sorted(carried), key=rank)
+        groups = {version: _of_version(targets, version).values() for version in sorted(carried)}
+        least = max(len(group) for group in groups.values()) / 2
+        # Targets that start ahead of an order may be as many as those in use.
+        self.base_version = min(
+            (version for version, group in groups.items() if len(group) >= least),
+            key=lambda version: min(state.spec.started_ms for state in groups[version]),
+        )
 
     def choose_minor(
         self,
--- a/packages/core/tests/test_rollout.py
+++ b/packages/core/tests/test_rollout.py
@@ -161,11 +161,18 @@
         self.assertEqual(self.used(placement), {target.name for target in self.old})
 
     def test_home_that_starts_takes_the_new_version_for_the_present_one(self):
-        """Guards against a home that first sees as many new targets as old ones."""
+        """Guards against a home that first sees more new targets than old ones."""
         placement = ServicePlacement(floor_share=0.7, versions=ServiceVersions())
-        placement.configure([*self.new, *self.old], 1.0)
+        more = self.target("n4", "v2", started_ms=2)
+        placement.configure([*self.new, more, *self.old], 1.0)
         self.assertEqual(self.used(placement), {target.name for target in self.old})
 
+    def test_home_that_starts_uses_a_version_that_was_replaced(self):
+        """Guards against all requests at one target that was not stopped."""
+        placement = ServicePlacement(floor_share=0.7, versions=ServiceVersions())
+        placement.configure([*self.new, self.old[0]], 1.0)
+        self.assertEqual(self.used(placement), {target.name for target in self.new})
+
     def test_only_version_left_is_not_used(self):
         """Guards against an outage when the old targets go without an order."""
         placement = ServicePlacement(floor_share=0.7, versions=ServiceVersions())
