--- a/packages/core/src/tanagerreach_core/_expected_work.py
+++ b/packages/core/src/tanagerreach_core/_expected_work.py
@@ -57,11 +57,6 @@
         self._classes: dict[int, WorkDistribution] = {}
         self._shapes: dict[_ShapeKey, WorkDistribution] = {}
 
-    @property
-    def mean_s(self) -> float:
-        """Mean latency of the service."""
-        return self._latency.mean_s
-
     def adopt_mean(self, now_s: float) -> None:
         """Start from the service's mean, which another home has measured, without samples."""
         if self._classes:
--- a/packages/core/src/tanagerreach_core/_target_state.py
+++ b/packages/core/src/tanagerreach_core/_target_state.py
@@ -30,7 +30,7 @@
 DISTANCE_WEIGHT = 0.06
 LATENCY_WEIGHT = 0.05
 # Bounds on what a slow target, and the work left at one, add to its cost.
-SLOWNESS_MAX = 4.0
+SLOWNESS_COUNTED_MAX = 4.0
 WORK_LOAD_MAX = 2.0
 # A target that got no request since it joined is preferred for the next retryable request, and
 # after a pause for any request, so that it shares the load.
@@ -321,7 +321,7 @@
             left = work.left_s / (max(1, spec.slot_count) * usual_s)
             if left > load:
                 load = min(WORK_LOAD_MAX, left)
-        cost = LOAD_WEIGHT * load * load + LATENCY_WEIGHT * min(SLOWNESS_MAX, slowness)
+        cost = LOAD_WEIGHT * load * load + LATENCY_WEIGHT * min(SLOWNESS_COUNTED_MAX, slowness)
         if self.is_cold(now_s):
             cost += LOAD_WEIGHT
         if spec.cold_rate_per_s > 0:
--- a/packages/core/src/tanagerreach_core/_work_distribution.py
+++ b/packages/core/src/tanagerreach_core/_work_distribution.py
@@ -92,10 +92,6 @@
         step = bisect.bisect_left(CLASS_LIMITS_S, elapsed_s)
         return 1.0 if step == 0 else max(self._late_share_min, self.late_shares[step - 1])
 
-    def rest_s(self, age_s: float) -> float:
-        """Return how much longer a request of an age is expected to run."""
-        return self.rests_s[bisect.bisect_left(CLASS_LIMITS_S, age_s)]
-
     def _update(self) -> None:
         """Compute the figures that decisions use."""
         prior_shares, prior_means_s = self._prior_steps()
