Compare cold targets by their failures only, and both versions over the same time

Good versions were blamed for a lossy link, as the old version's responses from before it counted in the base: they count from the first comparable response of the new one, and the base of a route with few responses is the service's share at the same time. Less of the exposure is spent on cold targets, and a route needs evidence for the version.

--- a/packages/core/src/tanagerreach_core/_rollout.py
+++ b/packages/core/src/tanagerreach_core/_rollout.py
@@ -19,7 +19,7 @@
 CANARY_SHARE_USED = 0.8
 SLACK_SHARE_USED = 0.5
 # Part of that which is used while all targets of the canary are cold: their latency says nothing.
-COLD_SHARE_USED = 0.5
+COLD_SHARE_USED = 0.35
 # The slack is given out over this time, so that the first responses are known before most of it.
 SLACK_RAMP_S = 2.0
 # Each route with at least this share of the requests gets as many canary requests as the others.
@@ -39,10 +39,10 @@
 LATEST_DRAIN_S = 3.0
 LATEST_COMPLETION_S = 1.0
 WEAK_RESPONSES_MIN = 8
-WEAK_SUSPICION_MAX = 0.5
+WEAK_SUSPICION_MAX = 0.4
 # Shares of the requests that the new version gets while traffic moves. The last one leaves enough
 # to the old version to compare with it.
-SHIFT_SHARES = (0.25, 0.6, 0.9)
+SHIFT_SHARES = (0.2, 0.5, 0.9)
 SHIFT_STEP_MIN_S = 0.6
 SHIFT_STEP_MAX_S = 1.2
 # The first step lasts until late responses would be known as such, but not longer than this.
--- a/packages/core/src/tanagerreach_core/_version_comparison.py
+++ b/packages/core/src/tanagerreach_core/_version_comparison.py
@@ -17,9 +17,9 @@
 # Additional share of bad answers that makes a version bad.
 BAD_SHARE_DIFFERENCE = 0.2
 BAD_SHARE_MAX = 0.95
-# Log-likelihood ratio from which the new version counts as bad: one good version in 250 by one
+# Log-likelihood ratio from which the new version counts as bad: one good version in 400 by one
 # comparison. Several windows and routes are compared, but each only a few times independently.
-BAD_LOG_RATIO = 5.5
+BAD_LOG_RATIO = 6.0
 # The same for a good version.
 GOOD_LOG_RATIO = 5.0
 # A verdict against the version needs evidence from this many of its targets, if it has them; more
@@ -42,10 +42,14 @@
 WINDOWS_S = {SHORT_WINDOW_S: 1.35, 4.0: 1.1}
 # Routes with a smaller share of the service's requests need no responses for a good verdict.
 ROUTE_SHARE_MIN = 0.05
-ROUTE_RESPONSES_MIN = 12
-# A route with more evidence against the version prevents a good verdict.
-ROUTE_DOUBT_MAX = 1.0
-# Weight, in responses, of the overall share of bad answers in the share of a window.
+ROUTE_RESPONSES_MIN = 16
+# A route needs at least so much evidence for the version, here negative, for a good verdict.
+ROUTE_DOUBT_MAX = -1.0
+# Added to the route of responses of which only failures are judged, as their targets are cold. They
+# are compared with the failures of the old version; as good answers of the route they would hide
+# late ones.
+FAILURES_ONLY = " (cold)"
+# Weight, in responses, of the share of bad answers on all routes in the share on one of them.
 PRIOR_COUNT = 20.0
 PRIOR_SHARE = 0.05
 PRIOR_SHARE_MIN = 0.02
@@ -175,7 +179,7 @@
         is_late = sent.counts_latency and latency_s > self._late_limit_s(sent.route)
         if outcome is Outcome.CANCELLED and not is_late:
             return
-        self._count(sent, is_late or outcome in FAILURES, now_s)
+        self._count(sent, now_s, is_failed=outcome in FAILURES, is_late=is_late)
 
     def forget(self, key: RequestKey) -> None:
         """Forget a request whose end was never reported."""
@@ -211,7 +215,7 @@
         confidence = overall
         total_count = sum(entry[0] for entry in self._total.old.values())
         for route, (old_count, _) in self._total.old.items():
-            if old_count < ROUTE_SHARE_MIN * total_count:
+            if old_count < ROUTE_SHARE_MIN * total_count or route.endswith(FAILURES_ONLY):
                 continue
             confidence = min(confidence, self._warm_counts[route] / ROUTE_RESPONSES_MIN)
             if self._evidence(self._total, route) > ROUTE_DOUBT_MAX:
@@ -252,21 +256,29 @@
             self._total.add(Side.OLD, "", route, count, bad_count)
         for target, route, count, bad_count in new_counts:
             self._total.add(Side.NEW, target, route, count, bad_count)
-            self._warm_counts[route] += count
+            if not route.endswith(FAILURES_ONLY):
+                self._warm_counts[route] += count
         for route, limit_ms in late_after_ms.items():
             self._late_after_s.setdefault(route, limit_ms / 1000.0)
 
     def _late_limit_s(self, route: str) -> float:
         return self._late_after_s.get(route, float("inf"))
 
-    def _count(self, sent: _Sent, is_bad: bool, now_s: float) -> None:
+    def _count(self, sent: _Sent, now_s: float, *, is_failed: bool, is_late: bool) -> None:
         if sent.side is Side.NEW and sent.counts_latency:
             self._warm_counts[sent.route] += 1
         number = int(now_s / SLOT_S)
         if not self._slots or self._slots[-1][0] != number:
             self._slots.append((number, _Counts()))
+        # Responses of the old version from before the first of the new one would compare different
+        # times.
+        is_compared = sent.counts_latency and bool(self._warm_counts)
         for counts in (self._total, self._slots[-1][1]):
-            counts.add(sent.side, sent.target, sent.route, 1, int(is_bad))
+            if is_compared:
+                counts.add(sent.side, sent.target, sent.route, 1, int(is_failed or is_late))
+            if not sent.counts_latency or sent.side is Side.OLD:
+                route = sent.route + FAILURES_ONLY
+                counts.add(sent.side, sent.target, route, 1, int(is_failed))
 
     def _update(self, now_s: float) -> None:
         oldest = int((now_s - max(WINDOWS_S)) / SLOT_S)
@@ -283,7 +295,7 @@
             is_late = now_s - sent.sent_s > self._late_limit_s(sent.route)
             if is_late and sent.counts_latency and not sent.is_counted:
                 sent.is_counted = True
-                self._count(sent, True, now_s)
+                self._count(sent, now_s, is_failed=False, is_late=True)
 
     def _window(self, window_s: float, now_s: float) -> _Counts:
         found = _Counts()
@@ -332,7 +344,12 @@
 
     def _weights(self, counts: _Counts, route: str) -> tuple[float, float]:
         """Return the log-likelihood ratios of a bad and of a good answer on a route."""
-        total_count, total_bad_count = self._total.old.get(route, (0, 0))
+        is_failures_only = route.endswith(FAILURES_ONLY)
+        total_count = total_bad_count = 0
+        for name, entry in counts.old.items():
+            if name.endswith(FAILURES_ONLY) == is_failures_only:
+                total_count += entry[0]
+                total_bad_count += entry[1]
         prior = (total_bad_count + PRIOR_COUNT * PRIOR_SHARE) / (total_count + PRIOR_COUNT)
         prior = max(PRIOR_SHARE_MIN, min(PRIOR_SHARE_MAX, prior))
         count, bad_count = counts.old.get(route, (0, 0))
@@ -348,6 +365,6 @@
         entry
         for by_route in sources
         for name, entry in by_route.items()
-        if not route or name == route
+        if name == route or (not route and (side is Side.NEW or not name.endswith(FAILURES_ONLY)))
     ]
     return sum(entry[0] for entry in entries), sum(entry[1] for entry in entries)
