--- a/packages/core/src/tanagerreach_core/_placement.py
+++ b/packages/core/src/tanagerreach_core/_placement.py
@@ -316,7 +316,7 @@
         again = {
             name
             for name in placement_request.tried
-            if name in self._targets and self._targets[name].is_up(requester, now_s)
+            if name in self._used_targets and self._used_targets[name].is_up(requester, now_s)
         }
         excluded = [name for name in placement_request.excluded if name not in again]
         return msgspec.structs.replace(placement_request, excluded=excluded)
@@ -328,13 +328,14 @@
         self._ranking.evaluate(self._latency, now_s)
         return sum(
             state.capacity(self.service_time_s) * (1 - self._ranking.failure_probability(name))
-            for name, state in self._targets.items()
+            for name, state in self._used_targets.items()
             if self._is_eligible(state, placement_request, now_s) and state.is_up(requester, now_s)
         )
 
     def _has_target(self, placement_request: PlacementRequest, now_s: float) -> bool:
         return any(
-            self._is_eligible(state, placement_request, now_s) for state in self._targets.values()
+            self._is_eligible(state, placement_request, now_s)
+            for state in self._used_targets.values()
         )
 
     def _restore_objective(self, request: WaitingRequest, now_s: float) -> None:
@@ -555,7 +556,7 @@
             expected_work_ms=0 if work is None else int(MS_PER_S * work.mean_s),
             queued_count=len(self._queue),
             candidates=candidates(
-                self._targets.values(),
+                self._used_targets.values(),
                 self._ranking,
                 requester=requester,
                 highest_failure_probability=highest,
@@ -769,7 +770,7 @@
 
     def _find_probed_targets(self, now_s: float) -> None:
         self._probes.evaluate(
-            self._targets.values(),
+            self._used_targets.values(),
             lambda state: self._ranking.failure_probability(state.spec.name),
             now_s,
         )
--- a/packages/core/tests/test_rollout.py
+++ b/packages/core/tests/test_rollout.py
@@ -173,6 +173,31 @@
         placement.configure([*self.new, self.old[0]], 1.0)
         self.assertEqual(self.used(placement), {target.name for target in self.new})
 
+    def test_targets_that_are_not_used_break_retries_and_probes(self):
+        """Guards against the choice among all targets, which is ranked for the used ones only."""
+        placement = ServicePlacement(floor_share=0.7, versions=ServiceVersions())
+        placement.configure(self.old, 0.0)
+        placement.configure([*self.old, *self.new], 1.0)
+        for number in range(10):
+            # Many unserved requests call for probes of idle targets.
+            placement.record_refusal(20.0)
+            request = PlacementRequest(
+                call_id=number,
+                service="s",
+                workspace="w",
+                priority=0,
+                remaining_ms=5000,
+                objective_ms=2000,
+                is_retryable=True,
+                is_retry=number % 2 == 1,
+                data_centre="dc-0",
+                fingerprint=b"",
+                excluded=["n0", "o0"] if number % 2 else [],
+                tried=["n0", "o0"] if number % 2 else [],
+            )
+            reply = placement.place(("i", number), request, 20.0 + number / 100)
+            self.assertIn(reply.target, {target.name for target in self.old})
+
     def test_only_version_left_is_not_used(self):
         """Guards against an outage when the old targets go without an order."""
         placement = ServicePlacement(floor_share=0.7, versions=ServiceVersions())
