--- a/packages/daemon/src/tanagerreachd/gateway/_home_server.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_home_server.py
@@ -35,7 +35,7 @@
 
 from .. import _clock
 from .._logs import InstanceLog
-from ._rollout_controller import RolloutController
+from ._rollout_controller import HOME_ACTIVE_S, RolloutController
 from ._target_directory import KnownTarget, TargetDirectory
 
 MS_PER_S = 1000.0
@@ -46,9 +46,6 @@
 # Added to a target heartbeat: targets of a data centre that returns to service may be cold, and
 # their entries show that only after a heartbeat. Until then they get no more than cold targets.
 RETURNED_DATA_CENTRE_COLD_S = 1.0
-# An instance that got no placement request for this long is no longer the service's home and sends
-# no failure digests.
-HOME_ACTIVE_S = 1.0
 # An older failure digest of a former home is no better than none.
 DIGEST_EXPIRY_S = 3.0
 # Longest wait for the first list of targets after this instance became a home.
--- a/packages/daemon/src/tanagerreachd/gateway/_rollout_controller.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_rollout_controller.py
@@ -36,7 +36,8 @@
 ADVANCE_INTERVAL_S = 0.1
 # The same while nothing is ordered.
 IDLE_INTERVAL_S = 0.4
-# An instance that placed no request for others for this long is not the service's home.
+# An instance that got no placement request for this long is no longer the service's home and sends
+# no failure digests.
 HOME_ACTIVE_S = 1.0
 # While a service is in use and there is no verdict, its status is read at this interval: another
 # home may have written one.
