Tell a reset from an end in order by the state of the connection

The kernel had told some other call of the reset; which one is not known. At the end of the input the reader now looks at the connection's state: after an end in order this side is still open. test_reset_that_another_call_was_told_of_looks_like_the_end failed before.

--- a/packages/daemon/src/tanagerreachd/_upstream_connection.py
+++ b/packages/daemon/src/tanagerreachd/_upstream_connection.py
@@ -27,6 +27,8 @@
 # Least time to take what has arrived already, when the caller was slow to read the part before.
 RECEIVE_MIN_S = 0.02
 STATUS_SWITCHING_PROTOCOLS = 101
+# First byte of the kernel's information on a connection that is closed in both directions.
+TCP_STATE_CLOSED = b"\x07"
 # http.client also accepts signs, more or fewer digits, and statuses beyond the classes of HTTP.
 STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] [1-5][0-9]{2}(?: [^\r\n]*)?\r?\n\Z")
 FIRST_INFORMATIONAL_STATUS = 100
@@ -81,11 +83,23 @@
         except ConnectionError as error:
             self.failure = self.failure or error
             raise
-        if not size_bytes and self.failure is not None:
+        if not size_bytes and (self.failure is not None or self._is_reset()):
             raise ConnectionResetError("the connection failed before its end") from self.failure
         self._received_s = _clock.now_s()
         return size_bytes
 
+    def _is_reset(self) -> bool:
+        """Return whether the connection was reset, whichever call the kernel told of it.
+
+        After an end in order, this side is still open.
+        """
+        try:
+            state = self._socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+        except OSError:
+            # Only the failures that were seen count then.
+            return False
+        return state == TCP_STATE_CLOSED
+
     def close(self) -> None:
         """Close the reader, and the socket if it has no other."""
         if not self.closed:
--- a/packages/daemon/tests/test_upstream_reset.py
+++ b/packages/daemon/tests/test_upstream_reset.py
@@ -9,6 +9,7 @@
 from gevent.server import StreamServer
 from scripted_target import ScriptedTarget
 from tanagerreachd._upstream import TargetDialect, UpstreamClient, UpstreamRequest
+from tanagerreachd._upstream_connection import TargetConnection
 from tanagerreachd._upstream_errors import UpstreamError
 
 SEAL = b"Seal: x\r\n"
@@ -114,6 +115,29 @@
                     with self.assertRaises(UpstreamError):
                         self.send(UNFRAMED + b"d" * size_bytes, request, pause_s=pause_s)
 
+    def test_reset_that_another_call_was_told_of_looks_like_the_end(self):
+        """The kernel reports a reset once, to whichever call asks first."""
+        for resets in (False, True):
+            with self.subTest(resets=resets):
+                target = EarlyTarget(b"part", pause_s=0.05, resets=resets)
+                self.addCleanup(target.stop)
+                host, port = target.address.split(":")
+                connection = TargetConnection(
+                    host, int(port), connect_timeout_s=1.0, idle_timeout_s=2.0
+                )
+                connection.connect()
+                self.addCleanup(connection.abandon)
+                connection.send(b"GET / HTTP/1.1\r\n\r\n")
+                open_socket = connection.sock
+                reader = connection.response_class(open_socket).fp
+                gevent.sleep(0.2)
+                open_socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+                if resets:
+                    with self.assertRaises(ConnectionResetError):
+                        reader.read()
+                else:
+                    self.assertEqual(reader.read(), b"part")
+
     def test_reset_of_a_framed_response_looks_like_its_end(self):
         for head in (LENGTH, CHUNKED):
             for upload_bytes in (SHORT_UPLOAD_BYTES, LONG_UPLOAD_BYTES):
