--- a/packages/core/src/tanagerreach_core/_placement.py
+++ b/packages/core/src/tanagerreach_core/_placement.py
@@ -283,13 +283,7 @@
         if known is not None:
             return known
         placement_request = self._with_tried_targets(key[0], placement_request, now_s)
-        request = WaitingRequest(
-            key=key,
-            placement_request=placement_request,
-            arrived_s=now_s,
-            deadline_s=now_s + placement_request.remaining_ms / MS_PER_S,
-            objective_s=now_s + placement_request.objective_ms / MS_PER_S,
-        )
+        request = _waiting_request(key, placement_request, now_s)
         self._restore_objective(request, now_s)
         self._probes.record_request()
         refusal = self._refusal(request, now_s)
@@ -534,13 +528,8 @@
         self, requester: str, placement_request: PlacementRequest, now_s: float
     ) -> PlacementPreview:
         """Return what would be decided on a request, without placing it."""
-        request = WaitingRequest(
-            key=(requester, placement_request.call_id),
-            placement_request=placement_request,
-            arrived_s=now_s,
-            deadline_s=now_s + placement_request.remaining_ms / MS_PER_S,
-            objective_s=now_s + placement_request.objective_ms / MS_PER_S,
-        )
+        key = (requester, placement_request.call_id)
+        request = _waiting_request(key, placement_request, now_s)
         self._ranking.evaluate(self._latency, now_s)
         refusal = self._refusal(request, now_s)
         highest = self._failure_probability_limit(request, now_s)
@@ -840,6 +829,18 @@
         )
 
 
+def _waiting_request(
+    key: tuple[str, int], placement_request: PlacementRequest, now_s: float
+) -> WaitingRequest:
+    return WaitingRequest(
+        key=key,
+        placement_request=placement_request,
+        arrived_s=now_s,
+        deadline_s=now_s + placement_request.remaining_ms / MS_PER_S,
+        objective_s=now_s + placement_request.objective_ms / MS_PER_S,
+    )
+
+
 def _age_ms(since_s: float, now_s: float) -> int:
     return NO_RESPONSE_AGE_MS if since_s == float("-inf") else int(MS_PER_S * (now_s - since_s))
 
