--- a/review/standins2/fleet.py
+++ b/review/standins2/fleet.py
@@ -62,9 +62,13 @@
         cut = self.server.cut_pids
         if not cut:
             return False
-        if not hasattr(self, "pid"):
-            self.pid = owner_pid(self.client_address[1], self.server.fleet_pids())
-        return self.pid in cut
+        return self.find_pid() in cut
+
+    def find_pid(self):
+        if getattr(self, "pid", None) is None:
+            own_port = self.server.server_address[1]
+            self.pid = owner_pid(self.client_address[1], own_port, self.server.fleet_pids())
+        return self.pid
 
     def hold_cut(self):
         """Neither take nor answer anything while the machine is cut off."""
@@ -81,9 +85,7 @@
 
     def watch(self):
         watches = self.server.watches
-        if not hasattr(self, "pid"):
-            self.pid = owner_pid(self.client_address[1], self.server.fleet_pids())
-        entry = (self.fields["pathPrefix"], self.pid)
+        entry = (self.fields["pathPrefix"], self.find_pid())
         watches.append(entry)
         try:
             return super().watch()
@@ -144,12 +146,13 @@
         self._ended.set()
 
 
-def owner_pid(port, pids):
-    """Return which of some processes has a TCP socket on a local port, ``None`` if none has."""
+def owner_pid(port, peer_port, pids):
+    """Return which of some processes has a connection between two ports, ``None`` if none has."""
     inode = None
     for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
         fields = line.split()
-        if int(fields[1].rpartition(":")[2], 16) == port:
+        ports = [int(text.rpartition(":")[2], 16) for text in fields[1:3]]
+        if ports == [port, peer_port]:
             inode = fields[9]
             break
     for pid in pids:
