--- a/review/standins2/fleet.py
+++ b/review/standins2/fleet.py
@@ -331,8 +331,16 @@
         except (OSError, http.client.HTTPException):
             pass
         self.record.add(
-            request_id, "sent", f"{sent_s - self.record.start_s:.3f}", "to", gateway.name, method,
-            path, f"key={key}", "answered", status,
+            request_id,
+            "sent",
+            f"{sent_s - self.record.start_s:.3f}",
+            "to",
+            gateway.name,
+            method,
+            path,
+            f"key={key}",
+            "answered",
+            status,
         )
         return request_id, sent_s, status, found, data
 
