Take a response with a malformed header line for no response

Cause: http.client gives the head to a parser of mail messages. That parser ends the head without an error at a line that it does not know, and records a defect that nobody reads. The fields behind the line are lost, Content-Length and Transfer-Encoding among them, and a body without a length extends to the end of the connection. It also drops lines that begin with "From " or have no name, drops continuations of the status line, and takes a bare CR for the end of a line, so that a value can hold a further field. The check of names and values in _check_fields saw only what the parser had left.

Ruled out: the forwarding of fields (it sends what the parser left, whose names are sound) and the heads of callers' requests, which are checked line by line before the parser gets them.

Why it works: the lines of a target's heads, interim responses among them, are checked as they arrive, before the parser gets them, and the first one that is no field ends the response and its connection. Continuations (obs-fold) and lines that end with a bare LF are read as before. The health probe uses the same reader.

--- a/packages/daemon/src/tanagerreachd/_http_head.py
+++ b/packages/daemon/src/tanagerreachd/_http_head.py
@@ -4,8 +4,11 @@
 from collections.abc import Iterator
 from functools import lru_cache
 
-TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+\Z")
-FORBIDDEN_VALUE_BYTES = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+NAME_PATTERN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
+# Everything but control characters other than the tab.
+VALUE_PATTERN = rb"[^\x00-\x08\x0a-\x1f\x7f]*"
+TOKEN = re.compile(NAME_PATTERN + rb"\Z")
+VALUE = re.compile(VALUE_PATTERN + rb"\Z")
 DECIMAL = re.compile(r"[0-9]{1,15}\Z")
 # Few header names occur in practice; the bound keeps made-up names from exhausting the memory.
 HEADER_NAME_CACHE_SIZE = 1024
@@ -111,8 +114,7 @@
     name, separator, value = line[:-2].partition(b":")
     if not separator or not TOKEN.match(name):
         raise RequestRefusedError("400 Bad Request", "a header line is not of the form name: value")
-    value = value.strip(b" \t")
-    if FORBIDDEN_VALUE_BYTES.search(value):
+    if not VALUE.match(value):
         raise RequestRefusedError("400 Bad Request", "a header value holds a control character")
 
 
--- a/packages/daemon/src/tanagerreachd/_upstream.py
+++ b/packages/daemon/src/tanagerreachd/_upstream.py
@@ -21,6 +21,7 @@
 from ._http_head import HeaderFields
 from ._notice_headers import STATUS_SERVICE_UNAVAILABLE, NoticeHeaders, read_notice
 from ._peer_link import split_address
+from ._strict_response import FIRST_FINAL_STATUS, MalformedHeadError
 from ._upstream_connection import (
     MAX_IDLE_S,
     RECEIVE_MIN_S,
@@ -55,7 +56,6 @@
 LOAD_SHED_NOT_STARTED = "not-started"
 REQUEST_ID_HEADER = "Request-Id"
 STATUS_MISDIRECTED = 421
-FIRST_FINAL_STATUS = 200
 FIRST_REDIRECT_STATUS = 300
 BODILESS_STATUSES = frozenset({204, 304})
 
@@ -73,7 +73,6 @@
     }
 )
 
-HEADER_NAME = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+\Z")
 FORBIDDEN_VALUE = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 DECIMAL = re.compile(r"[0-9]{1,15}\Z")
 
@@ -562,7 +561,7 @@
         A response without an identifier is assumed to be the request's own, if the dialect allows.
         """
         for skipped_count in range(self._dialect.max_foreign_responses + 1):
-            response = self._connection.next_response()
+            response = self._next_response()
             headers = _headers(response)
             response_request_id = headers.get(self._dialect.request_id_header)
             if response_request_id == self._request.request_id or self._is_anonymous(
@@ -578,6 +577,12 @@
                 break
         raise InvalidResponseError(self._target, "answered with another request's identifier")
 
+    def _next_response(self) -> http.client.HTTPResponse:
+        try:
+            return self._connection.next_response()
+        except MalformedHeadError as error:
+            raise InvalidResponseError(self._target, "answered with a malformed header") from error
+
     def _is_anonymous(self, status: int, headers: HeaderFields) -> bool:
         """Return whether a response without an identifier may be the request's own."""
         if headers.get(self._dialect.request_id_header) is not None:
@@ -655,9 +660,9 @@
     """Reject response heads that cannot be forwarded unchanged."""
     if response.status < FIRST_FINAL_STATUS or FORBIDDEN_VALUE.search(response.reason or ""):
         raise InvalidResponseError(target, f"answered with an unusable status {response.status}")
-    for name, value in headers.items():
-        if not HEADER_NAME.match(name) or FORBIDDEN_VALUE.search(value):
-            raise InvalidResponseError(target, "answered with a malformed header")
+    # A value may be folded at a bare LF.
+    if any(FORBIDDEN_VALUE.search(value) for _, value in headers.items()):
+        raise InvalidResponseError(target, "answered with a malformed header")
 
 
 def _is_bodiless(request: UpstreamRequest, response: http.client.HTTPResponse) -> bool:
--- a/packages/daemon/src/tanagerreachd/_upstream_connection.py
+++ b/packages/daemon/src/tanagerreachd/_upstream_connection.py
@@ -3,7 +3,6 @@
 import contextlib
 import http.client
 import io
-import re
 import socket
 import time
 from collections import deque
@@ -15,6 +14,7 @@
 
 from . import _clock
 from ._sockets import send_all
+from ._strict_response import FramingError, StrictResponse
 
 MAX_IDLE_CONNECTIONS = 64
 # Longest head of a response with its interim responses, and longest trailer section.
@@ -26,21 +26,12 @@
 STOPPED_AFTER_S = 0.25
 # Least time to take what has arrived already, when the caller was slow to read the part before.
 RECEIVE_MIN_S = 0.02
-STATUS_SWITCHING_PROTOCOLS = 101
 # First byte of the kernel's information on a connection that is closed in both directions.
 TCP_STATE_CLOSED = b"\x07"
-# http.client also accepts signs, more or fewer digits, and statuses beyond the classes of HTTP.
-STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] [1-5][0-9]{2}(?: [^\r\n]*)?\r?\n\Z")
-FIRST_INFORMATIONAL_STATUS = 100
-FIRST_FINAL_STATUS = 200
 # Servers expect a Content-Length from other methods even without a body.
 METHODS_WITHOUT_BODY = frozenset({"GET", "HEAD", "DELETE", "TRACE", "OPTIONS", "CONNECT"})
 
 
-class FramingError(http.client.HTTPException):
-    """The lines that frame a response are cut or do not end."""
-
-
 class NotSentError(Exception):
     """The time until which a request may be sent has passed, and nothing of it was sent."""
 
@@ -115,7 +106,7 @@
     of a head, and read some lines without a limit; this reader raises :class:`FramingError`.
     """
 
-    __slots__ = ("_framing_bytes", "_raw", "_reader", "_socket", "_timeout_s", "latest_line")
+    __slots__ = ("_framing_bytes", "_raw", "_reader", "_socket", "_timeout_s")
 
     def __init__(self, open_socket: Any) -> None:
         self._socket = open_socket
@@ -124,7 +115,6 @@
         self._reader = io.BufferedReader(self._raw)
         # Bytes of lines since the last part of a body, or since the start of the response.
         self._framing_bytes = 0
-        self.latest_line = b""
 
     def begin_response(self) -> None:
         """Expect the head of a response, or the end of the connection."""
@@ -157,7 +147,6 @@
         if not is_whole and len(line) != limit and (line or self._framing_bytes):
             raise FramingError("the connection ended within a head or a chunk's line")
         self._framing_bytes += len(line)
-        self.latest_line = line
         return line
 
     def read(self, size: int = -1) -> bytes:
@@ -224,23 +213,6 @@
             self._raw.responds_by_s = responds_by_s
 
 
-class _Response(http.client.HTTPResponse):
-    """Response that skips all interim (1xx) responses; ``http.client`` skips 100 only.
-
-    :raises http.client.BadStatusLine: when the status is not three digits from 100 to 599.
-    """
-
-    def _read_status(self) -> tuple[str, int, str]:
-        while True:
-            version, status, reason = super()._read_status()
-            if not STATUS_LINE.match(self.fp.latest_line):
-                raise http.client.BadStatusLine(repr(self.fp.latest_line))
-            is_interim = FIRST_INFORMATIONAL_STATUS < status < FIRST_FINAL_STATUS
-            if not is_interim or status == STATUS_SWITCHING_PROTOCOLS:
-                return version, status, reason
-            http.client.parse_headers(self.fp)
-
-
 class TargetConnection(http.client.HTTPConnection):
     """Connection whose socket can be shut down at any time.
 
@@ -284,7 +256,7 @@
         open_socket.settimeout(self.timeout)
         self.sock = self._open_socket = open_socket
         reader = self._reader = _SharedReader(open_socket)
-        self.response_class = lambda _socket, **options: _Response(reader, **options)
+        self.response_class = lambda _socket, **options: StrictResponse(reader, **options)
 
     def limit_response(self, responds_by_s: float) -> None:
         """Give up the present response if it stops, from a time on.
@@ -305,6 +277,7 @@
         """Read the head of the next response, which may belong to an earlier request.
 
         :raises OSError: when the connection fails.
+        :raises MalformedHeadError: when a line of the head is malformed.
         :raises http.client.HTTPException: when the received bytes are not an HTTP response.
         """
         if self._reader is not None:
@@ -313,7 +286,7 @@
         if self._is_first_response_pending:
             self._is_first_response_pending = False
             return self.getresponse()
-        response = _Response(self._reader, method=self._method)
+        response = StrictResponse(self._reader, method=self._method)
         response.begin()
         if response.will_close:
             self.close()
--- a/packages/daemon/tests/test_target_health.py
+++ b/packages/daemon/tests/test_target_health.py
@@ -162,6 +162,16 @@
         self.addCleanup(target.stop)
         self.assertTrue(HealthClient().probe(target.address).warming)
 
+    def test_health_response_with_a_malformed_head_is_believed(self):
+        """Guards against a state from a response of which fields were skipped."""
+        fields = b"Content-Length: 16\r\n"
+        for line in (b"Odd Name: x\r\n", b"Odd\x01Name: x\r\n", b"From Odd: x\r\n"):
+            for head in (line + fields, fields + line):
+                with self.subTest(head=head):
+                    target = ScriptedTarget([self.OK + head + b'\r\n{"warming":true}', None])
+                    self.assertIsNone(HealthClient().probe(target.address))
+                    target.stop()
+
 
 if __name__ == "__main__":
     unittest.main()
