Take answers with malformed heads from the store and peers for no answer

The same cause as that of the malformed heads of targets, where the instance reads answers of the store and of other instances. urllib3 finds the defects of a head, logs them and returns the response; it also takes the end of the connection for the end of a head.

Seen by tests, not by users: the platform's store client lost Store-Era with the fields behind a malformed line and took the answer for one of era 0; the next answer then looked like a return of the store from an older copy (3 of 4 forms). A lease counted as renewed by an answer that was cut in its head. Values, listings, chunks of the configuration and states were read from such answers.

Evidence, each failed before: test_malformed_head_changes_the_era (3 of 4 forms; with a CR in a value the era was unreadable, as now) and test_strict_pool (77 of 77 cases: 40 with a malformed line in answers of the store and of peers by three ways, 37 cut heads).

Why it works: all of these read with StrictResponse, the reader of targets' answers, by pools that urllib3 lets choose the class of their connections. The error is one of urllib3's, which each caller already handles: a call without an answer, for a write one that may have been executed.

Not changed: the command line reads answers of instances as before. It decodes a whole JSON document or fails, but for metrics that it prints as text.

Before: 3 of 4 and 77 of 77 cases failed.

--- a/packages/daemon/src/tanagerreachd/_fleet_status.py
+++ b/packages/daemon/src/tanagerreachd/_fleet_status.py
@@ -10,6 +10,8 @@
 import urllib3
 from tanagerreach_core.operator_responses import FleetMember, FleetStatus, InstanceStatus
 
+from ._strict_pool import StrictPoolManager
+
 FLEET_TIMEOUT_S = 1.5
 # More concurrent calls delay callers' requests on the collecting instance and are not faster.
 FLEET_CONCURRENCY = 16
@@ -129,12 +131,11 @@
 
     def _fetch_status(self, peer: KnownInstance) -> bytes:
         # Connections are not reused, since a pool per peer would outlive replaced instances.
-        with urllib3.connection_from_url(
-            f"http://{peer.operator_address}", timeout=urllib3.Timeout(total=self._timeout_s)
-        ) as pool:
-            response = pool.request(
+        timeout = urllib3.Timeout(total=self._timeout_s)
+        with StrictPoolManager(timeout=timeout) as pools:
+            response = pools.request(
                 "GET",
-                "/v1/status?targets=no",
+                f"http://{peer.operator_address}/v1/status?targets=no",
                 headers=self._headers,
                 retries=False,
                 redirect=False,
--- a/packages/daemon/src/tanagerreachd/_peer_http.py
+++ b/packages/daemon/src/tanagerreachd/_peer_http.py
@@ -16,6 +16,7 @@
 
 from ._peer_link import ReplayGuard
 from ._slot_handover import SlotHandover
+from ._strict_pool import StrictPoolManager
 
 MAC_HEADER = "Peer-Mac"
 SENDER_HEADER = "Peer-Sender"
@@ -63,7 +64,7 @@
         self._identity = identity
         self._authenticator = authenticator
         self._counter = 0
-        self._pools = urllib3.PoolManager(num_pools=16, retries=False, timeout=CALL_TIMEOUT_S)
+        self._pools = StrictPoolManager(num_pools=16, retries=False, timeout=CALL_TIMEOUT_S)
 
     def fetch_content(self, address: str, name: str) -> bytes | None:
         """Fetch the configuration head or a chunk; return ``None`` if the call fails."""
--- a/packages/daemon/src/tanagerreachd/_store_client.py
+++ b/packages/daemon/src/tanagerreachd/_store_client.py
@@ -6,6 +6,9 @@
 
 import msgspec
 import urllib3
+from urllib3.util import parse_url
+
+from ._strict_pool import StrictPool
 
 CONNECT_TIMEOUT_S = 1.0
 RESPONSE_TIMEOUT_S = 1.0
@@ -175,7 +178,8 @@
         response_timeout_s: float = RESPONSE_TIMEOUT_S,
         watch_response_timeout_s: float = WATCH_RESPONSE_TIMEOUT_S,
     ) -> None:
-        self._pool = urllib3.connection_from_url(base_url, maxsize=POOL_SIZE, retries=False)
+        url = parse_url(base_url)
+        self._pool = StrictPool(url.host, url.port, maxsize=POOL_SIZE, retries=False)
         self._response_timeout_s = response_timeout_s
         self._watch_response_timeout_s = watch_response_timeout_s
 
--- a/packages/daemon/src/tanagerreachd/_strict_response.py
+++ b/packages/daemon/src/tanagerreachd/_strict_response.py
@@ -55,7 +55,7 @@
             self._field_count += 1
         elif line in (b"\r\n", b"\n"):
             self._is_in_fields = False
-        elif line.endswith(b"\n"):
+        elif len(line) < limit:
             raise MalformedHeadError("a line of the head is not a header field")
         return line
 
--- a/packages/daemon/src/tanagerreachd/gateway/_peer_state.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_peer_state.py
@@ -12,6 +12,7 @@
 import urllib3
 
 from .._logs import InstanceLog
+from .._strict_pool import StrictPoolManager
 from ._caller_rooms import CallerRooms
 from ._sources import Listing, StoredItem
 
@@ -101,7 +102,7 @@
     def __init__(self, *, addresses: Callable[[], list[str]], log: InstanceLog) -> None:
         self._addresses = addresses
         self._log = log
-        self._pool = urllib3.PoolManager(maxsize=1, retries=False)
+        self._pool = StrictPoolManager(maxsize=1, retries=False)
 
     def read(self, path: str) -> Listing | None:
         """Read a listing from the first peer that has one."""
