Take a body with malformed chunks for an incomplete one

A target sent a chunk size such as +2, 0x2 or -0, bytes behind the data of a chunk, or a trailer that is not a header field. The caller got the body as a whole one: without the bytes that the target had sent beyond the size, or with another length than the target meant. A lease counted as renewed by such an answer of the store.

Cause: the class of the malformed heads, a library that guesses where the bytes are not HTTP. http.client reads a chunk's size with int(), which also takes signs, prefixes, underscores and blanks, skips any two bytes behind the data, and does not look at the lines of the trailer section.

Ruled out: the end of the connection within a chunk or its line, which was seen before.

Why it works: a size is hexadecimal digits with an optional extension, the data of a chunk ends with CR LF, and trailer lines are checked like those of a head. Anything else ends the response like one that is cut: a failure where nothing was forwarded yet, a connection without the last chunk otherwise. Blanks behind a size, leading zeros, extensions and lines that end with a bare LF are read as before.

--- a/packages/daemon/src/tanagerreachd/_upstream.py
+++ b/packages/daemon/src/tanagerreachd/_upstream.py
@@ -21,7 +21,7 @@
 from ._http_head import HeaderFields
 from ._notice_headers import STATUS_SERVICE_UNAVAILABLE, NoticeHeaders, read_notice
 from ._peer_link import split_address
-from ._strict_response import FIRST_FINAL_STATUS, MalformedHeadError
+from ._strict_response import FIRST_FINAL_STATUS, MalformedFieldError, StrictResponse
 from ._upstream_connection import (
     MAX_IDLE_S,
     RECEIVE_MIN_S,
@@ -203,7 +203,7 @@
     def __init__(
         self,
         target: str,
-        response: http.client.HTTPResponse,
+        response: StrictResponse,
         connection: TargetConnection,
         pool: TargetPool,
         *,
@@ -295,8 +295,7 @@
             while part := response.read1(STREAM_CHUNK_BYTES):
                 if response.chunk_left == 0:
                     # The line end behind a chunk is no sign that more of the body has arrived.
-                    response._safe_read(len(b"\r\n"))
-                    response.chunk_left = None
+                    response.end_chunk()
                 yield part
             return
         while part := self._response.read1(STREAM_CHUNK_BYTES, decode_content=False):
@@ -555,7 +554,7 @@
     def _notice(self, status: int, headers: HeaderFields) -> TargetNotice:
         return read_notice(self._dialect.notices, status, headers)
 
-    def _matching_response(self) -> tuple[http.client.HTTPResponse, HeaderFields]:
+    def _matching_response(self) -> tuple[StrictResponse, HeaderFields]:
         """Return the response to this request, skipping late responses to earlier ones.
 
         A response without an identifier is assumed to be the request's own, if the dialect allows.
@@ -577,10 +576,10 @@
                 break
         raise InvalidResponseError(self._target, "answered with another request's identifier")
 
-    def _next_response(self) -> http.client.HTTPResponse:
+    def _next_response(self) -> StrictResponse:
         try:
             return self._connection.next_response()
-        except MalformedHeadError as error:
+        except MalformedFieldError as error:
             raise InvalidResponseError(self._target, "answered with a malformed header") from error
 
     def _is_anonymous(self, status: int, headers: HeaderFields) -> bool:
--- a/packages/daemon/src/tanagerreachd/_upstream_connection.py
+++ b/packages/daemon/src/tanagerreachd/_upstream_connection.py
@@ -273,11 +273,11 @@
         """
         return self._reader is not None and self._reader.wait_for_data(until_s)
 
-    def next_response(self) -> http.client.HTTPResponse:
+    def next_response(self) -> StrictResponse:
         """Read the head of the next response, which may belong to an earlier request.
 
         :raises OSError: when the connection fails.
-        :raises MalformedHeadError: when a line of the head is malformed.
+        :raises MalformedFieldError: when a line of the head is malformed.
         :raises http.client.HTTPException: when the received bytes are not an HTTP response.
         """
         if self._reader is not None:
--- a/packages/daemon/tests/test_strict_pool.py
+++ b/packages/daemon/tests/test_strict_pool.py
@@ -88,6 +88,21 @@
         self.server.answer = lambda _received: answer
         self.assertTrue(store.renew_lease("l"))
 
+    def test_malformed_chunks_renew_a_lease(self):
+        """Guards against an answer whose body does not end as its chunks tell."""
+        store = HttpStore(base_url=f"http://{self.address}")
+        self.addCleanup(store.close)
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n"
+        for body in (
+            *(b"+2\r\n{}\r\n0\r\n\r\n", b"2\r\n{}!!0\r\n\r\n", b"2\r\n{}\r\n-0\r\n\r\n"),
+            *(b"2\r\n{}\r\n0\r\nOdd Name: x\r\n\r\n", b"2\r\n{}\r\n0\r\n"),
+        ):
+            self.server.answer = lambda _received, body=body: head + body
+            with self.subTest(body=body), self.assertRaises(ResponseLostError):
+                store.renew_lease("l")
+        self.server.answer = lambda _received: head + b"2\r\n{}\r\n0\r\n\r\n"
+        self.assertTrue(store.renew_lease("l"))
+
     def test_listing_of_a_peer_is_read(self):
         """Guards against state with a head that is not understood."""
         client = PeerStateClient(addresses=lambda: [self.address], log=mock.Mock())
