--- a/packages/daemon/src/tanagerreachd/_strict_pool.py
+++ b/packages/daemon/src/tanagerreachd/_strict_pool.py
@@ -22,7 +22,7 @@
 
 
 class StrictPoolManager(urllib3.PoolManager):
-    """Pools of connections to several servers, by ``http``."""
+    """Pools of connections to several servers; knows no other scheme than ``http``."""
 
     def __init__(self, **options: Any) -> None:
         super().__init__(**options)
--- a/packages/daemon/src/tanagerreachd/_strict_response.py
+++ b/packages/daemon/src/tanagerreachd/_strict_response.py
@@ -1,4 +1,4 @@
-"""Response of ``http.client`` that raises errors where the library guesses or skips."""
+"""Response of ``http.client`` that raises errors where the library would guess or skip."""
 
 import http.client
 import re
@@ -22,7 +22,7 @@
 
 
 class FramingError(http.client.HTTPException):
-    """The lines that frame a response are cut or do not end."""
+    """The lines that frame a response, or its chunks, are malformed, cut or do not end."""
 
 
 class MalformedFieldError(http.client.HTTPException):
@@ -71,14 +71,18 @@
 
 
 class StrictResponse(http.client.HTTPResponse):
-    """Response that skips all interim (1xx) responses; ``http.client`` skips 100 only.
+    """Response of which each line of the head, the chunks and the trailer section is checked.
 
-    :raises http.client.BadStatusLine: when the status is not three digits from 100 to 599.
-    :raises MalformedFieldError: when a line of the head is not a header field.
+    It skips all interim (1xx) responses; ``http.client`` skips 100 only. Reading a chunked body
+    raises :class:`FramingError` and :class:`MalformedFieldError`.
     """
 
     def begin(self) -> None:
-        """Read the head."""
+        """Read the head.
+
+        :raises http.client.BadStatusLine: when the status is not three digits from 100 to 599.
+        :raises MalformedFieldError: when a line of the head is not a header field.
+        """
         reader = self.fp
         self.fp = _FieldReader(reader)
         try:
