--- a/packages/core/src/tanagerreach_core/_fleet_news.py
+++ b/packages/core/src/tanagerreach_core/_fleet_news.py
@@ -16,6 +16,7 @@
 
 import xxhash
 
+from ._message_parts import divide
 from ._peer_table import Peer, PeerChange, PeerTable
 from ._placement_messages import AGE_UNKNOWN_MS, Heartbeat, NewsKind, PeerNews, PeerState
 
@@ -33,11 +34,6 @@
 NEWS_DELAY_S = 0.5
 # Addresses are sent with each so many states of an instance, as receivers mostly know them.
 ADDRESS_INTERVAL_STATES = 8
-# A message has to fit into one datagram of 16 KB.
-MESSAGE_BYTES_MAX = 12_000
-STATE_BYTES = 48
-NAME_OVERHEAD_BYTES = 3
-CRASH_REPORT_BYTES = 40
 MS_PER_S = 1000.0
 
 _GroupKey = tuple[str, int]
@@ -379,23 +375,9 @@
 def _messages(kind: NewsKind, states: Iterable[_Named]) -> list[PeerNews]:
     """Divide states among messages that fit into a datagram."""
     messages: list[PeerNews] = []
-    left_bytes = 0
-    for data_centre, state in states:
-        size_bytes = _size_bytes(state)
-        if not messages or size_bytes > left_bytes:
-            messages.append(PeerNews(kind=kind, states={}))
-            left_bytes = MESSAGE_BYTES_MAX
-        messages[-1].states.setdefault(data_centre, []).append(state)
-        left_bytes -= size_bytes
+    for part in divide(states):
+        news = PeerNews(kind=kind, states={})
+        for data_centre, state in part:
+            news.states.setdefault(data_centre, []).append(state)
+        messages.append(news)
     return messages
-
-
-def _size_bytes(state: PeerState) -> int:
-    """Return an upper estimate of the size of a state in a message."""
-    return (
-        STATE_BYTES
-        + len(state.name)
-        + len(state.address)
-        + sum(len(name) + NAME_OVERHEAD_BYTES for name in state.suspected_names)
-        + CRASH_REPORT_BYTES * len(state.crash_reports)
-    )
--- a/packages/core/src/tanagerreach_core/_placement.py
+++ b/packages/core/src/tanagerreach_core/_placement.py
@@ -69,10 +69,7 @@
 LOST_COMPLETION_CHECK_INTERVAL_S = 0.25
 RETRY_AFTER_MIN_S = 0.2
 FINISHED_REPLIES_MAX = 512
-# A digest has to fit into one datagram; it keeps the targets that are most likely to fail.
-DIGEST_TARGETS_MAX = 300
 DIGEST_STREAKS_MAX = 32
-DIGEST_NOTICES_MAX = 100
 # Another home's notices count unless the target responded here within this time, the interval of
 # two digests.
 NOTICE_ADOPTION_S = 0.8
@@ -453,27 +450,28 @@
         self._results.add_placed(now_s, is_failed=_is_failure(outcome))
 
     def digest(self, service: str, now_s: float) -> FailureDigest:
-        """Return the targets' failure probabilities, for the home that may take over."""
+        """Return the targets' failure probabilities, for the home that may take over.
+
+        The targets that are most likely to fail come first. A large digest has to be divided with
+        :func:`digest_parts`.
+        """
         estimates = sorted(
             (
-                (
-                    -round(state.request_failure_probability(self._latency, now_s), 3),
-                    int(MS_PER_S * state.failure_estimator.age_s(now_s)),
-                    name,
-                )
-                for name, state in self._targets.items()
+                -round(state.request_failure_probability(self._latency, now_s), 3),
+                int(MS_PER_S * state.failure_estimator.age_s(now_s)),
+                name,
             )
+            for name, state in self._targets.items()
         )
         return FailureDigest(
             service=service,
             service_time_ms=int(MS_PER_S * self.service_time_s),
             failure_probabilities={
-                name: (-negative, age_ms)
-                for negative, age_ms, name in estimates[:DIGEST_TARGETS_MAX]
+                name: (-negative, age_ms) for negative, age_ms, name in estimates
             },
             crash_streaks=self._crashes.latest(DIGEST_STREAKS_MAX, now_s),
-            limits_per_s=dict(itertools.islice(self._limits(), DIGEST_NOTICES_MAX)),
-            leaving=list(itertools.islice(self._leaving(), DIGEST_NOTICES_MAX)),
+            limits_per_s=dict(self._limits()),
+            leaving=list(self._leaving()),
         )
 
     def _limits(self) -> Iterator[tuple[str, float]]:
--- a/packages/core/src/tanagerreach_core/_placement_messages.py
+++ b/packages/core/src/tanagerreach_core/_placement_messages.py
@@ -260,7 +260,8 @@
     ``failure_probabilities`` has, by target, the probability that it fails requests now, and the
     milliseconds since its latest outcome. ``crash_streaks`` are the latest requests that broke
     connections. ``limits_per_s`` has the limits that targets named, ``leaving`` the targets that
-    take no new requests.
+    take no new requests. A digest that exceeds a datagram is sent in parts, which count from 0 and
+    have different targets and streaks.
     """
 
     service: str
@@ -269,6 +270,7 @@
     crash_streaks: list[CrashStreak] = msgspec.field(default_factory=list)
     limits_per_s: dict[str, float] = msgspec.field(default_factory=dict)
     leaving: list[str] = msgspec.field(default_factory=list)
+    part: int = 0
 
 
 class RefusalNotice(msgspec.Struct, kw_only=True, array_like=True, tag=28):
--- a/packages/core/src/tanagerreach_core/_rollout.py
+++ b/packages/core/src/tanagerreach_core/_rollout.py
@@ -7,9 +7,11 @@
 each of which is watched.
 """
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import IntEnum
 
+from ._message_parts import MESSAGE_BYTES_MAX, Entry, divide
 from ._outcomes import Outcome
 from ._rollout_messages import RolloutProgress
 from ._version_comparison import Assessment, RequestKey, Side, VersionComparison
@@ -62,8 +64,8 @@
 NEW_LOAD_MAX = 0.8
 # Part of the order's time that counts as used when the time of the order is not known.
 UNKNOWN_AGE_SHARE = 0.5
-# Progress has to fit into one datagram.
-PROGRESS_COUNTS_MAX = 240
+# Each list of a progress message gets this part of a datagram; what is most frequent comes first.
+PROGRESS_LIST_BYTES_MAX = MESSAGE_BYTES_MAX // 3
 
 
 class RolloutStage(IntEnum):
@@ -403,9 +405,9 @@
             request_count=self.request_count,
             exposed_count=self.exposed_count,
             shift_step=self.shift_step,
-            old_counts=self.comparison.old_counts(),
-            new_counts=self.comparison.new_counts()[:PROGRESS_COUNTS_MAX],
-            late_after_ms=self.comparison.late_after_ms(),
+            old_counts=_fitting(self.comparison.old_counts()),
+            new_counts=_fitting(self.comparison.new_counts()),
+            late_after_ms=dict(_fitting(self.comparison.late_after_ms().items())),
         )
 
     def adopt(self, progress: RolloutProgress, now_s: float, *, is_active: bool) -> bool:
@@ -433,3 +435,9 @@
         self.comparison.adopt(progress.old_counts, progress.new_counts, progress.late_after_ms)
         self._stage_results = self.comparison.count(Side.NEW)[0]
         return is_changed
+
+
+def _fitting(entries: Iterable[Entry]) -> list[Entry]:
+    """Return the first entries that fit into their part of a progress message."""
+    parts = divide(entries, most_bytes=PROGRESS_LIST_BYTES_MAX)
+    return parts[0] if parts else []
--- a/packages/core/src/tanagerreach_core/_version_comparison.py
+++ b/packages/core/src/tanagerreach_core/_version_comparison.py
@@ -223,8 +223,9 @@
         return confidence
 
     def old_counts(self) -> list[tuple[str, int, int]]:
-        """Return route, responses and bad ones of the old version."""
-        return [(route, *entry) for route, entry in self._total.old.items()]
+        """Return route, responses and bad ones of the old version, the most first."""
+        found = [(route, *entry) for route, entry in self._total.old.items()]
+        return sorted(found, key=lambda entry: -entry[1])
 
     def new_counts(self) -> list[tuple[str, str, int, int]]:
         """Return target, route, responses and bad ones of the new version, the most first."""
--- a/packages/core/src/tanagerreach_core/placement.py
+++ b/packages/core/src/tanagerreach_core/placement.py
@@ -5,6 +5,7 @@
 from ._fleet_news import TICK_S, FleetNews
 from ._instance_retry_budget import InstanceRetryBudget, RetryBudgetUse
 from ._late_try import LateTry, LateTryObstacle, late_try_obstacle
+from ._message_parts import digest_parts
 from ._peer_table import Peer, PeerChange, PeerTable
 from ._placement import PlacementEvent, ServicePlacement, awaits_retry, may_retry
 from ._placement_messages import NO_NOTICE, TargetNotice
@@ -57,6 +58,7 @@
     "QuotaGrants",
     "WorkspaceQuota",
     "awaits_retry",
+    "digest_parts",
     "late_try_obstacle",
     "may_retry",
     "path_shape",
--- a/packages/daemon/src/tanagerreachd/_peer_codec.py
+++ b/packages/daemon/src/tanagerreachd/_peer_codec.py
@@ -25,6 +25,10 @@
     """A datagram that is not a valid message of this fleet."""
 
 
+class MessageTooLargeError(PeerCodecError):
+    """A message that does not fit into a datagram; it has to be divided."""
+
+
 class AuthenticationError(PeerCodecError):
     """A datagram whose MAC does not match the fleet secret."""
 
@@ -58,11 +62,11 @@
         """Encode an envelope as one datagram.
 
         :returns: the MAC followed by the message.
-        :raises PeerCodecError: when the message exceeds ``MAX_DATAGRAM_BYTES``.
+        :raises MessageTooLargeError: when the message exceeds ``MAX_DATAGRAM_BYTES``.
         """
         payload = self._encoder.encode(envelope)
         if len(payload) + MAC_BYTES > MAX_DATAGRAM_BYTES:
-            raise PeerCodecError(
+            raise MessageTooLargeError(
                 f"{type(envelope.message).__name__} of {len(payload)} bytes exceeds the datagram"
                 f" limit of {MAX_DATAGRAM_BYTES} bytes; send fewer entries per message"
             )
--- a/packages/daemon/src/tanagerreachd/_peer_link.py
+++ b/packages/daemon/src/tanagerreachd/_peer_link.py
@@ -9,7 +9,13 @@
 from tanagerreach_core.messages import Envelope, InstanceIncarnation, Message
 
 from . import _clock
-from ._peer_codec import MAX_DATAGRAM_BYTES, AuthenticationError, PeerCodec, PeerCodecError
+from ._peer_codec import (
+    MAX_DATAGRAM_BYTES,
+    AuthenticationError,
+    MessageTooLargeError,
+    PeerCodec,
+    PeerCodecError,
+)
 from ._timeline import HybridClock, HybridTime
 
 REPLAY_WINDOW_BITS = 128
@@ -160,7 +166,8 @@
         """Start receiving.
 
         :param handler: called with each message; must not block.
-        :param on_failure: called with exceptions that the handler raises.
+        :param on_failure: called with exceptions that the handler raises, and with the error of
+            each message that is too large to be sent.
         """
         self._handler = handler
         self._on_failure = on_failure
@@ -173,7 +180,19 @@
         self._socket.close()
 
     def send(self, address: str, message: Message) -> None:
-        """Send one message; errors are only counted, since UDP may lose it anyway."""
+        """Send one message; errors are only counted and reported, since UDP may lose it anyway."""
+        try:
+            self.send_request(address, message)
+        except MessageTooLargeError as error:
+            self.counters.send_failure_count += 1
+            if self._on_failure is not None:
+                self._on_failure(error)
+
+    def send_request(self, address: str, message: Message) -> None:
+        """Send one message whose sender waits for a reply.
+
+        :raises MessageTooLargeError: when it does not fit into a datagram, so that no reply comes.
+        """
         self._counter += 1
         envelope = Envelope(
             sender=self._sender,
--- a/packages/daemon/src/tanagerreachd/gateway/_home_server.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_home_server.py
@@ -26,6 +26,7 @@
     ServicePlacement,
     TargetNotice,
     WorkspaceQuota,
+    digest_parts,
 )
 from tanagerreach_core.rights import (
     WorkspaceLimit,
@@ -111,7 +112,8 @@
         self._list_age_ms = list_age_ms
         self._last_request_s: dict[str, float] = {}
         self._work: dict[str, _Work] = {}
-        self._received_digests: dict[str, tuple[FailureDigest, float]] = {}
+        # Latest digests of other homes and their times, by service and part.
+        self._received_digests: dict[str, dict[int, tuple[FailureDigest, float]]] = {}
         self._returned_s: dict[str, float] = {}
         self._out_data_centres: frozenset[str] = frozenset()
         self._user_shares_updated_s = float("-inf")
@@ -243,17 +245,18 @@
             self._quota.give_back(message.workspace)
 
     def digests(self, now_s: float) -> list[FailureDigest]:
-        """Return failure digests of the services for which this instance acts as the home."""
+        """Return the failure digests, in parts, of the services whose home is this instance."""
         return [
-            self._services[name].digest(name, now_s)
+            part
             for name, requested_s in self._last_request_s.items()
             if now_s - requested_s < HOME_ACTIVE_S and name in self._services
+            for part in digest_parts(self._services[name].digest(name, now_s))
         ]
 
     def adopt_digest(self, digest: FailureDigest) -> None:
         """Adopt the failure digest of a service's former or present home."""
         now_s = _clock.now_s()
-        self._received_digests[digest.service] = (digest, now_s)
+        self._received_digests.setdefault(digest.service, {})[digest.part] = (digest, now_s)
         service = self._services.get(digest.service)
         if service is not None:
             service.adopt(digest, now_s)
@@ -396,10 +399,12 @@
         self._set_shares(name, service, now_s)
         service.set_places_by_cost(self._places_by_cost(name), now_s)
         service.configure(self._targets(name, now_s), now_s)
-        received_digest = self._received_digests.get(name)
-        digest_age_s = None if received_digest is None else now_s - received_digest[1]
-        if received_digest is not None and now_s - received_digest[1] < DIGEST_EXPIRY_S:
-            service.adopt(received_digest[0], now_s)
+        digest_age_s = None
+        for digest, received_s in self._received_digests.get(name, {}).values():
+            age_s = now_s - received_s
+            digest_age_s = age_s if digest_age_s is None else min(digest_age_s, age_s)
+            if age_s < DIGEST_EXPIRY_S:
+                service.adopt(digest, now_s)
         self._log.info(
             "service homed here",
             service=name,
--- a/packages/daemon/src/tanagerreachd/gateway/_peer_calls.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_peer_calls.py
@@ -25,7 +25,8 @@
     Peers know an instance by its name and may still hold calls of its earlier run. The ids of each
     run therefore start at a random number, so that no run uses an id of another.
 
-    :param send: sends a message to an address.
+    :param send: sends a message to an address; raises ``MessageTooLargeError`` when that is not
+        possible.
     """
 
     __slots__ = ("_ids", "_unconfirmed", "_waiting", "send")
@@ -55,6 +56,7 @@
 
         :param queue: the queue that :meth:`open` returned for the call id.
         :returns: the reply, ``None`` when there is none.
+        :raises MessageTooLargeError: when the request does not fit into a datagram.
         """
         timeout_s = REPLY_TIMEOUT_S
         for _ in range(SEND_COUNT):
--- a/packages/daemon/src/tanagerreachd/gateway/_placement_client.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_placement_client.py
@@ -21,6 +21,7 @@
 
 from .. import _clock
 from .._logs import InstanceLog
+from .._peer_codec import MessageTooLargeError
 from ._home_server import HomeServer
 from ._peer_calls import PeerCalls
 
@@ -116,7 +117,12 @@
                 continue
             for home in list(homes):
                 placement_request = make_request(self._calls.next_id(), accepts_stale)
-                reply = self._request_placement(home, placement_request)
+                try:
+                    reply = self._request_placement(home, placement_request)
+                except MessageTooLargeError as error:
+                    homes.remove(home)
+                    self._log.failure(error)
+                    continue
                 if reply is None:
                     homes.remove(home)
                     self._record_lost_home(home, placement_request.service)
@@ -182,6 +188,9 @@
             queue = self._calls.open(quota_request.call_id)
             try:
                 reply = self._calls.call(home.address, quota_request, queue)
+            except MessageTooLargeError as error:
+                self._log.failure(error)
+                continue
             finally:
                 self._calls.close(quota_request.call_id)
             if reply is not None:
--- a/packages/daemon/tests/test_peer_codec.py
+++ b/packages/daemon/tests/test_peer_codec.py
@@ -23,7 +23,12 @@
     FleetNews,
     PeerTable,
     PlacementTarget,
+    Rollout,
+    RolloutLimits,
+    RolloutOrder,
     ServicePlacement,
+    TargetNotice,
+    digest_parts,
 )
 from tanagerreach_core.traffic import Outcome
 from tanagerreachd._peer_codec import (
@@ -64,31 +69,34 @@
     return Envelope(sender=SENDER, counter=1, message=message)
 
 
-def fullest_news(instance_count):
+def fullest_news(instance_count, name="instance-of-a-data-centre"):
     """Return the states of a fleet whose instances all suspect some and saw requests crash."""
     table = PeerTable(own_name="i", heartbeat_s=1.0)
     news = FleetNews(own_name="i", own_data_centre="dc", peer_table=table, random=Random(1))
     for number in range(instance_count):
         state = PeerState(
-            name=f"instance-of-a-data-centre-{number}",
+            name=f"{name}-{number}",
             beat=2**40,
             address="10.100.100.100:7100",
             configuration_version=2**32,
-            suspected_names=[f"instance-of-a-data-centre-{other}" for other in range(8)],
+            suspected_names=[f"{name}-{other}" for other in range(8)],
             crash_reports=[(bytes(16), 2**32, 2500)] * 16,
         )
         table.record_state(state, data_centre="dc", heard_s=0.0, now_s=0.0, news_delay_s=0.0)
     return news.complete_news(0.0)
 
 
-def fullest_digest():
-    """Return the digest of a home of many targets, most of whose requests broke connections."""
+def fullest_digest(name_format="target-{:012}"):
+    """Return the parts of the digest of a home whose requests mostly broke connections.
+
+    All of its many targets named a limit, and every other one leaves.
+    """
     crashes = CrashStreaks(own_name="front-data-centre-a-100")
     home = ServicePlacement(floor_share=0.7, crashes=crashes)
     home.configure(
         [
             PlacementTarget(
-                name=f"target-{number:012}",
+                name=name_format.format(number),
                 address=f"10.0.{number % 256}.1:80",
                 data_centre="a",
                 slot_count=4,
@@ -102,7 +110,10 @@
         for call_id in range(3):
             key = (f"front-data-centre-a-{100 + call_id}", 2**62 + call_id)
             crashes.observe(fingerprint, key, Outcome.BROKEN_BEFORE_HEAD, 0.0)
-    return home.digest("service", 50.0)
+    for number in range(1000):
+        notice = TargetNotice(limit_per_s=3.25, is_leaving=number % 2 == 0)
+        home.record_notice(("i", number), name_format.format(number), notice, 0.0, 50.0)
+    return digest_parts(home.digest("service", 50.0))
 
 
 class PeerCodecTest(unittest.TestCase):
@@ -120,8 +131,44 @@
 
     def test_fullest_digest_exceeds_a_datagram(self):
         """Guards against a home whose next home learns nothing, as the digest cannot be sent."""
-        datagram = PeerCodec(secret=SECRET).encode(envelope(fullest_digest()))
-        self.assertLessEqual(len(datagram), MAX_DATAGRAM_BYTES)
+        codec = PeerCodec(secret=SECRET)
+        for name_format in ("target-{:012}", "{:0100}", "{:04}" + 32 * "\N{SNOWMAN}"):
+            with self.subTest(name_format=name_format):
+                parts = fullest_digest(name_format)
+                names = {name_format.format(number) for number in range(1000)}
+                sizes = [len(codec.encode(envelope(part))) for part in parts]
+                self.assertLessEqual(max(sizes), MAX_DATAGRAM_BYTES)
+                found = [name for part in parts for name in part.failure_probabilities]
+                self.assertEqual(sorted(found), sorted(names))
+                limits = {name for part in parts for name in part.limits_per_s}
+                self.assertEqual(limits, names)
+                self.assertEqual(sum(len(part.leaving) for part in parts), 500)
+                self.assertEqual(sum(len(part.crash_streaks) for part in parts), 32)
+                self.assertEqual([part.part for part in parts], list(range(len(parts))))
+
+    def test_news_with_names_of_many_bytes(self):
+        """Guards against news whose size is estimated by characters, of which some take 4 bytes."""
+        codec = PeerCodec(secret=SECRET)
+        messages = fullest_news(100, name="\N{OIL DRUM}" * 40)
+        sizes = [len(codec.encode(envelope(message))) for message in messages]
+        self.assertLessEqual(max(sizes), MAX_DATAGRAM_BYTES)
+
+    def test_progress_of_a_rollout_exceeds_a_datagram(self):
+        """Guards against a roll-out that begins anew at the next home, as it has many routes."""
+        order = RolloutOrder(service="s", to_version="v2", duration_s=60.0, revision=1)
+        limits = RolloutLimits(share=0.1, slack=50.0)
+        rollout = Rollout(order=order, limits=limits, ordered_s=0.0, is_age_known=True)
+        routes = [f"route-{number:064}" for number in range(2000)]
+        rollout.comparison.adopt(
+            [(route, number + 1, 0) for number, route in enumerate(routes)],
+            [("t" * 100, route, number + 1, 0) for number, route in enumerate(routes)],
+            dict.fromkeys(routes, 900),
+        )
+        progress = rollout.progress(50.0)
+        PeerCodec(secret=SECRET).encode(envelope(progress))
+        self.assertEqual(progress.old_counts[0], (routes[-1], 2000, 0))
+        self.assertEqual(progress.new_counts[0], ("t" * 100, routes[-1], 2000, 0))
+        self.assertIn(routes[0], progress.late_after_ms)
 
     def setUp(self):
         self.codec = PeerCodec(secret=SECRET)
--- a/packages/daemon/tests/test_peer_link.py
+++ b/packages/daemon/tests/test_peer_link.py
@@ -2,8 +2,13 @@
 
 import unittest
 
-from tanagerreach_core.messages import CompletionAck, Envelope, InstanceIncarnation
-from tanagerreachd._peer_codec import PeerCodec
+from tanagerreach_core.messages import (
+    CompletionAck,
+    Envelope,
+    InstanceIncarnation,
+    RefusalNotice,
+)
+from tanagerreachd._peer_codec import MAX_DATAGRAM_BYTES, MessageTooLargeError, PeerCodec
 from tanagerreachd._peer_link import PeerLink
 from tanagerreachd._timeline import HybridClock
 
@@ -28,6 +33,18 @@
                 self.link.send(address, CompletionAck(call_id=1))
         self.assertEqual(self.link.counters.send_failure_count, 4)
 
+    def test_large_message_ends_the_sender(self):
+        """Guards against a loop, or a stop, that ends at a message that is too large."""
+        failures = []
+        self.link._on_failure = failures.append
+        message = RefusalNotice(service="s" * MAX_DATAGRAM_BYTES)
+        self.link.send("127.0.0.1:7", message)
+        self.assertEqual(self.link.counters.send_failure_count, 1)
+        self.assertIsInstance(failures[0], MessageTooLargeError)
+        self.assertIn("RefusalNotice", str(failures[0]))
+        with self.assertRaises(MessageTooLargeError):
+            self.link.send_request("127.0.0.1:7", message)
+
     def test_odd_time_ends_the_receiver(self):
         """Guards against a receive loop that ends at a message with an odd time."""
         received = []
