Pass no status on that promises "not run" unless the target states it

Callers take 408, 421, 429 and 503 for a promise and send the charge again.

Cause: a response that did not state that the request had not run was the answer, whatever its status said.

Such a response is now an error of the target. A repeatable request goes to another one, and any other one gets a 502 of our own without the seal; only the promise has a rule, and MIXED forbids the seal with another status. A refusal of our own after a try that may have run becomes a 502 too, as when the service leaves the configuration between two tries. A target's 421 still means that it did not run the request.

Ruled out: retries (one target, one run) and refusals of our own.

--- a/packages/daemon/src/tanagerreachd/_upstream.py
+++ b/packages/daemon/src/tanagerreachd/_upstream.py
@@ -38,6 +38,7 @@
     LoadShedError,
     ResponseTimeoutError,
     TryAbortedError,
+    UnmarkedRefusalError,
     UpstreamError,
     WrongTargetError,
 )
@@ -139,6 +140,8 @@
     :param request_id_header: response header with the identifier of its request.
     :param sheds_load: returns, by status and headers, whether the target shed the request before
         starting it.
+    :param not_run_statuses: statuses that callers take for a promise that the request did not run.
+        A response with one of them is not passed on unless the target shed the request.
     :param accepts_unframed: whether a response without a length may end with its connection.
     :param max_foreign_responses: maximum number of responses to other requests that are skipped
         on a connection before it is closed.
@@ -150,6 +153,7 @@
 
     request_id_header: str = REQUEST_ID_HEADER
     sheds_load: Callable[[int, HeaderFields], bool] = _sheds_load
+    not_run_statuses: frozenset[int] = frozenset()
     accepts_unframed: bool = False
     max_foreign_responses: int = 0
     requires_request_id: bool = False
@@ -610,6 +614,12 @@
                 "shed the request before starting it",
                 notice=self._notice(response.status, headers),
             )
+        if response.status in self._dialect.not_run_statuses:
+            raise UnmarkedRefusalError(
+                self._target,
+                f"answered {response.status} without stating that the request did not run",
+                notice=self._notice(response.status, headers),
+            )
         self._check_success(response.status, headers)
         self._check_framing(response, headers)
 
--- a/packages/daemon/src/tanagerreachd/_upstream_errors.py
+++ b/packages/daemon/src/tanagerreachd/_upstream_errors.py
@@ -39,6 +39,19 @@
         self.notice = notice
 
 
+class UnmarkedRefusalError(UpstreamError):
+    """The status says that the request did not run, but the backend server does not state it.
+
+    :param notice: what the backend server asks of its callers.
+    """
+
+    kind = "unmarked-refusal"
+
+    def __init__(self, target: str, detail: str, *, notice: TargetNotice = NO_NOTICE) -> None:
+        super().__init__(target, detail)
+        self.notice = notice
+
+
 class WrongTargetError(UpstreamError):
     """The address now belongs to another target, which did not start the request."""
 
--- a/packages/daemon/src/tanagerreachd/gateway/_application.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_application.py
@@ -36,6 +36,7 @@
     LoadShedError,
     ResponseTimeoutError,
     TryAbortedError,
+    UnmarkedRefusalError,
     UpstreamError,
 )
 from ._dialect import Dialect
@@ -43,7 +44,7 @@
 from ._placement_client import Placement, PlacementClient
 from ._request import GatewayRequest, caller_wait_s
 from ._request_log import RequestLog, placement_inputs
-from ._request_refusals import body_broke_off, stopping, tries_failed, unavailable
+from ._request_refusals import body_broke_off, may_have_run, stopping, tries_failed, unavailable
 from ._retry_budgets import RetryBudgets
 from ._sources import CallerLimits
 from ._traffic import TrafficCounts, message_bytes
@@ -274,6 +275,9 @@
         except RefusalError as refusal:
             if self._return_quota(request):
                 refusal.inputs["quota_returned"] = True
+            if request.may_have_run and refusal.status in self._dialect.targets.not_run_statuses:
+                # A try may have run before the request was refused.
+                raise may_have_run(refusal) from refusal
             raise
         except BaseException:
             self._return_quota(request)
@@ -461,7 +465,7 @@
         except UpstreamError as error:
             failure = error
             outcome = _outcome(error)
-            if isinstance(error, LoadShedError):
+            if isinstance(error, LoadShedError | UnmarkedRefusalError):
                 notice = error.notice
         finally:
             took_s = _clock.now_s() - started_s
@@ -687,6 +691,8 @@
 def _outcome(error: UpstreamError) -> Outcome:
     if isinstance(error, LoadShedError):
         return Outcome.SHED
+    if isinstance(error, UnmarkedRefusalError):
+        return Outcome.ERROR
     if not error.may_have_started:
         return Outcome.CONNECT_FAILURE
     if isinstance(error, ResponseTimeoutError):
--- a/packages/daemon/src/tanagerreachd/gateway/_request_refusals.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_request_refusals.py
@@ -54,6 +54,17 @@
     )
 
 
+def may_have_run(refusal: RefusalError) -> RefusalError:
+    """Build a refusal in place of one whose status would say that the request did not run."""
+    return RefusalError(
+        status=HTTPStatus.BAD_GATEWAY,
+        kind="upstream-failed",
+        detail="the request was sent to a target and may have run there",
+        executed=Executed.UNKNOWN,
+        inputs={**refusal.inputs, "refused_as": refusal.kind},
+    )
+
+
 def tries_failed(request: GatewayRequest, failure: UpstreamError | None) -> RefusalError:
     """Build the refusal of a request whose tries all failed."""
     if not request.may_have_run:
--- a/packages/daemon/tests/test_gateway_application.py
+++ b/packages/daemon/tests/test_gateway_application.py
@@ -1,5 +1,6 @@
 """The request path of a gateway, with scripted homes and targets."""
 
+import dataclasses
 import gc
 import io
 import unittest
@@ -45,6 +46,20 @@
 SLOW_S = 1.2
 
 
+def made_resolver(revision, service):
+    """Return the resolver of a configuration with the service "s" and a route to a service."""
+    route = Route(
+        name="r",
+        service=service,
+        host="h",
+        path_prefix="/",
+        open=True,
+        max_tries=3,
+        idempotent=True,
+    )
+    return Resolver(Configuration.from_objects(revision, [route, Service(name="s")]))
+
+
 class SlowHomes:
     """Places the first try at once, and each further one after a wait."""
 
@@ -111,7 +126,7 @@
         self.sent.append(target)
         raise LoadShedError(target, "shed the request before starting it")
 
-    def start_request(self, connection):
+    def start_request(self, connection, on_status=lambda status: None):
         environ = {
             "REQUEST_METHOD": "POST",
             "HTTP_HOST": "h",
@@ -121,7 +136,7 @@
             "tanagerreach.socket": connection,
             "tanagerreach.handler": mock.Mock(headers=HeaderFields([("Host", "h")])),
         }
-        return gevent.spawn(self.application, environ, lambda *_arguments: None)
+        return gevent.spawn(self.application, environ, lambda status, _headers: on_status(status))
 
     def test_request_is_sent_again_after_its_caller_left(self):
         """Guards against a further try of a request whose caller left while it was queued again.
@@ -159,6 +174,31 @@
                     self.start_request(here).get(timeout=5.0)
                 self.assertEqual(len(self.homes.returned_units), returned_count)
 
+    def test_service_goes_after_a_try_that_may_have_run(self):
+        """Guards against a 503 for a request that ran before the configuration changed."""
+        targets = TargetDialect(not_run_statuses=frozenset({503}))
+        self.application._dialect = dataclasses.replace(DIALECT, targets=targets)
+        statuses = []
+        for error, status in (
+            (BrokenConnectionError("t1", "broke"), "502 Bad Gateway"),
+            (LoadShedError("t1", "shed"), "503 Service Unavailable"),
+        ):
+            with self.subTest(error=type(error).__name__):
+                resolvers = [made_resolver(1, "s"), made_resolver(2, "gone")]
+                self.application._resolver = lambda found=resolvers: found[0]
+
+                def send(error=error, resolvers=resolvers, **_fields):
+                    del resolvers[0]
+                    raise error
+
+                self.application._upstream.send = send
+                here, there = socket.socketpair()
+                self.addCleanup(here.close)
+                self.addCleanup(there.close)
+                with mock.patch(f"{__name__}.QUEUE_S", 0.0):
+                    self.start_request(here, statuses.append).get(timeout=5.0)
+                self.assertEqual(statuses.pop(), status)
+
 
 class ScriptedHomes(SlowHomes):
     """Places the first try at a slow target; further ones as scripted, after a wait.
