Count an instance at its home only once it certainly uses that home

Cause: a home found out by its own view which instances use it. To an instance that was cut off all the others were silent, so that it put them on probation, took itself for the home, and counted all of them, as the regular home did.

A home now counts an instance only after it was heard for 2.5 s without a gap; until its home was heard for 1.5 s, an instance issues its own part. A home that another one replaces gives the parts up, with their level, before it tells the new home of it. States name the run and the instances that were heard again lately, a pause of the own process counts as a cut, and an instance that knows no members issues nothing in its first 3 s.

Ruled out: the cut itself (1/32 of the rate each) and first bucket levels.

--- a/packages/core/src/tanagerreach_core/_fleet_news.py
+++ b/packages/core/src/tanagerreach_core/_fleet_news.py
@@ -65,6 +65,8 @@
             configuration_version=state.configuration_version,
             suspected_names=state.suspected_names,
             crash_reports=state.crash_reports,
+            started_ms=state.started_ms,
+            returned_names=state.returned_names,
         )
 
 
@@ -212,6 +214,8 @@
     def record_own(self, state: PeerState, now_s: float) -> None:
         """Record the state that this instance sends in its heartbeats now."""
         known = self._own
+        if known is not None and now_s - known.heard_s > self._peer_table.pause_limit_s:
+            self._peer_table.record_own_pause(now_s)
         self._own = _Heard(data_centre=self._own_data_centre, state=state, heard_s=now_s)
         self._is_urgent |= known is None or state.differs_from(known.state)
 
--- a/packages/core/src/tanagerreach_core/_messages.py
+++ b/packages/core/src/tanagerreach_core/_messages.py
@@ -17,6 +17,7 @@
     PlacementCompletion,
     PlacementReply,
     PlacementRequest,
+    QuotaHandover,
     QuotaReply,
     QuotaRequest,
     QuotaReturn,
@@ -275,6 +276,7 @@
     | QuotaRequest
     | QuotaReply
     | QuotaReturn
+    | QuotaHandover
     | CompletionAck
     | Heartbeat
     | PeerNews
--- a/packages/core/src/tanagerreach_core/_peer_table.py
+++ b/packages/core/src/tanagerreach_core/_peer_table.py
@@ -35,6 +35,19 @@
 # A peer lends its part of a right only while it was heard within this many heartbeat intervals,
 # fewer than those of the heartbeat timeout: after a partition it may use another home soon.
 LENDER_TIMEOUT_INTERVALS = 1.25
+# A peer lends its part only after it was heard for this long: its probation of this instance begins
+# up to a second later than this instance hears it.
+SETTLED_S = PROBATION_S + 1.0
+# Instances that were heard again lately, as an instance names them in its messages.
+RETURNED_NAMES_MAX = 16
+# The others may have missed an instance that sent no state for this many heartbeat intervals.
+PAUSE_INTERVALS = 3.0
+# An instance whose home was not heard for this long issues its own part of a right first, as the
+# home does not count it yet.
+OWN_PART_S = PROBATION_S
+# An instance that knows no members issues nothing for this long after its start: the others may
+# issue the whole right.
+MEMBERS_WAIT_S = 3.0
 # So many peers have to suspect a preferred home that is also silent before its part is used here.
 WITNESSES_MIN = 3
 # An instance that was silent for this long may return with earlier beats, since its clock may have
@@ -63,6 +76,8 @@
     configuration_version: int = 0
     suspected_names: frozenset[str] = frozenset()
     """Instances that did not reply to this peer, so that it does not use them as homes."""
+    returned_names: frozenset[str] = frozenset()
+    """Instances that this peer has heard again lately, so that it may not use them as homes."""
     state: PeerState | None = None
     """The latest state that was heard."""
     news_delay_s: float = 0.0
@@ -109,6 +124,7 @@
         "_preferences",
         "_suspected",
         "heartbeat_s",
+        "knows_members",
         "membership_version",
         "own_store_reachable",
         "own_is_home",
@@ -130,6 +146,8 @@
         self.membership_version = 0
         self.own_is_home = True
         self.own_store_reachable = True
+        # Whether the store or a peer has told which instances there are.
+        self.knows_members = True
 
     @property
     def peers(self) -> list[Peer]:
@@ -191,6 +209,8 @@
         if known is not None and state.beat <= known.beat and not is_restart:
             return None
         was_silent = not self.is_live(peer, now_s)
+        # A run that replaced an earlier one within the heartbeat timeout holds none of its rights.
+        is_new_run = known is not None and state.started_ms != known.started_ms
         peer.state = state
         peer.news_delay_s = news_delay_s
         peer.last_heard_s = max(peer.last_heard_s, heard_s)
@@ -200,11 +220,13 @@
         self._set_data_centre(peer, data_centre)
         if state.suspected_names or peer.suspected_names:
             peer.suspected_names = frozenset(state.suspected_names)
+        if state.returned_names or peer.returned_names:
+            peer.returned_names = frozenset(state.returned_names)
         is_notable = known is None or state.differs_from(known)
+        if (was_silent or is_new_run) and self.is_live(peer, now_s):
+            peer.live_since_s = now_s
         if not is_notable and not was_silent:
             return NO_CHANGE
-        if was_silent and self.is_live(peer, now_s):
-            peer.live_since_s = now_s
         was_serving = peer.is_serving and not peer.is_leaving
         has_lost_store = peer.store_reachable and not state.store_reachable
         peer.is_leaving = state.is_leaving
@@ -246,6 +268,25 @@
         self._suspected = [peer for peer in self._suspected if now_s < peer.suspected_until_s]
         return [peer.name for peer in self._suspected[-SUSPECTED_NAMES_MAX:]]
 
+    def returned_names(self, now_s: float) -> list[str]:
+        """Return the names of the peers that were heard again lately."""
+        returned = [
+            peer.name
+            for peer in self._peers.values()
+            if not _is_settled(peer, now_s) and self.is_live(peer, now_s)
+        ]
+        return returned[:RETURNED_NAMES_MAX]
+
+    @property
+    def pause_limit_s(self) -> float:
+        """Time without a state of this instance after which the others may have missed it."""
+        return PAUSE_INTERVALS * self.heartbeat_s
+
+    def record_own_pause(self, now_s: float) -> None:
+        """Treat all peers as heard again, as they may have used other homes meanwhile."""
+        for peer in self._peers.values():
+            peer.live_since_s = now_s
+
     def record_suspected(self, name: str, suspected_names: Iterable[str]) -> None:
         """Record which instances a peer suspects, by its latest message."""
         peer = self._peers.get(name)
@@ -327,23 +368,63 @@
         )
 
     def fleet_share(self, now_s: float) -> float:
-        """Return the fraction of the known fleet that is live, this instance included."""
-        return min(1.0, (1 + self._live_count(now_s)) / self._fleet_size(now_s))
+        """Return the fraction of the known fleet that is live and settled, with this instance."""
+        settled_count = sum(
+            self.is_live(peer, now_s) and _is_settled(peer, now_s) for peer in self._peers.values()
+        )
+        return self._share(1 + settled_count, now_s)
+
+    def own_share(self, now_s: float) -> float:
+        """Return the fraction of a right that this instance issues when it decides alone."""
+        return self._share(1, now_s)
 
-    def lent_share(self, rendezvous_key: bytes, now_s: float) -> float:
+    def lent_share(self, rendezvous_key: bytes, now_s: float, *, inherited: float = 0.0) -> float:
         """Return the fraction of the known fleet that uses this instance as a key's home.
 
         The others use an instance of higher preference, or do not receive this one's replies. Each
         instance counts at one home only, so the shares of all homes add up to one at most.
+
+        :param inherited: fraction that a former home has given up in favour of this one, which
+            counts also before its users are settled.
         """
-        users = self._user_count(rendezvous_key, self._heard_peers(now_s), now_s)
-        return min(1.0, users / self._fleet_size(now_s))
+        heard = self._heard_peers(now_s)
+        users = self._user_count(rendezvous_key, heard, now_s)
+        if inherited:
+            using = self._user_count(rendezvous_key, heard, now_s, counts_unsettled=True)
+            users = max(users, min(using, inherited * self._fleet_size(now_s)))
+        return self._share(users, now_s)
+
+    def lendable_share(self, now_s: float) -> float:
+        """Return the fraction that would use this instance if no other one were preferred."""
+        users = 1 + sum(
+            self._own_name not in peer.suspected_names and self._lends(peer, now_s)
+            for peer in self._heard_peers(now_s)
+        )
+        return self._share(users, now_s)
+
+    def preferred_home(self, rendezvous_key: bytes, now_s: float) -> Peer | None:
+        """Return the live instance of highest preference, also a suspected one."""
+        return next(self._eligible_homes(rendezvous_key, now_s), None)
 
     def user_share(self, rendezvous_key: bytes, now_s: float) -> float:
         """Return the fraction that uses this instance as a key's home, of those it hears."""
         heard = self._heard_peers(now_s)
         return self._user_count(rendezvous_key, heard, now_s) / (1 + len(heard))
 
+    def uses_own_part(self, home: Peer | None, now_s: float) -> bool:
+        """Return whether this instance's own part of a right is not with its home yet."""
+        return home is not None and now_s - home.live_since_s < OWN_PART_S
+
+    def has_just_become_home(self, home: Peer | None, now_s: float) -> bool:
+        """Return whether a home may not issue this instance's part of a right yet."""
+        return home is not None and not _is_settled(home, now_s)
+
+    def _share(self, count: float, now_s: float) -> float:
+        """Return the fraction of the fleet that some instances are."""
+        if not self.knows_members and now_s - self._own_live_since_s < MEMBERS_WAIT_S:
+            return 0.0
+        return min(1.0, count / self._fleet_size(now_s))
+
     def is_store_lost(self, now_s: float) -> bool:
         """Return whether most of the known fleet is live and does not reach the store."""
         lost_count = (not self.own_store_reachable) + sum(
@@ -367,7 +448,14 @@
             if peer.last_heard_s + peer.news_delay_s >= heard_since_s
         ]
 
-    def _user_count(self, rendezvous_key: bytes, heard: list[Peer], now_s: float) -> int:
+    def _user_count(
+        self,
+        rendezvous_key: bytes,
+        heard: list[Peer],
+        now_s: float,
+        *,
+        counts_unsettled: bool = False,
+    ) -> int:
         heard_names = {peer.name for peer in heard}
         witnesses = Counter(name for peer in heard for name in peer.suspected_names)
         preferred = {
@@ -378,10 +466,16 @@
             if peer.name in heard_names or witnesses[peer.name] < WITNESSES_MIN
         }
         return preferred.issubset(self.suspected_names(now_s)) + sum(
-            self._own_name not in peer.suspected_names and preferred <= peer.suspected_names
+            self._own_name not in peer.suspected_names
+            and preferred <= peer.suspected_names
+            and (counts_unsettled or self._lends(peer, now_s))
             for peer in heard
         )
 
+    def _lends(self, peer: Peer, now_s: float) -> bool:
+        """Return whether a peer uses this instance where it prefers no other one."""
+        return _is_settled(peer, now_s) and self._own_name not in peer.returned_names
+
     def size(self) -> int:
         """Return the number of known instances, this one included."""
         return 1 + len(self._peers)
@@ -413,5 +507,9 @@
         return dropped
 
 
+def _is_settled(peer: Peer, now_s: float) -> bool:
+    return now_s - peer.live_since_s >= SETTLED_S
+
+
 def _weight(rendezvous_key: bytes, name: str) -> int:
     return xxhash.xxh3_64_intdigest(rendezvous_key + b"\x00" + name.encode())
--- a/packages/core/src/tanagerreach_core/_placement_messages.py
+++ b/packages/core/src/tanagerreach_core/_placement_messages.py
@@ -184,6 +184,21 @@
     workspace: str
 
 
+class QuotaHandover(msgspec.Struct, kw_only=True, array_like=True, tag=32):
+    """Hands a workspace's quota over to its new home, as the sender no longer issues it.
+
+    It is not acknowledged: when it is lost, the new home issues the part of each instance once that
+    instance has certainly come to use it.
+
+    :param lent_share: share of the fleet that used the sender, from 0 to 1.
+    :param level: units that the sender has not issued.
+    """
+
+    workspace: str
+    lent_share: float
+    level: float
+
+
 class CompletionAck(msgspec.Struct, kw_only=True, array_like=True, tag=25):
     """Acknowledges a :class:`PlacementCompletion`."""
 
@@ -198,7 +213,9 @@
     that are passed on. ``store_reachable`` states whether the store replies to the instance.
     ``configuration_version`` is the store's position of the operators' state that it has in force.
     ``suspected_names`` are instances that did not reply to it. ``crash_reports`` are its latest
-    observations of requests that may crash targets.
+    observations of requests that may crash targets. ``started_ms`` is the start of its run, by
+    which the runs of an instance are told apart. ``returned_names`` are instances that it has heard
+    again lately, so that it may not use them as homes yet.
     """
 
     name: str
@@ -211,6 +228,8 @@
     configuration_version: int = -1
     suspected_names: list[str] = msgspec.field(default_factory=list)
     crash_reports: list[CrashReport] = msgspec.field(default_factory=list)
+    started_ms: int = 0
+    returned_names: list[str] = msgspec.field(default_factory=list)
 
     def differs_from(self, other: "PeerState") -> bool:
         """Return whether this state says more of its instance than that it is live."""
@@ -220,6 +239,7 @@
             or self.store_reachable != other.store_reachable
             or self.configuration_version != other.configuration_version
             or sorted(self.suspected_names) != sorted(other.suspected_names)
+            or sorted(self.returned_names) != sorted(other.returned_names)
         )
 
 
--- a/packages/core/src/tanagerreach_core/_workspace_quota.py
+++ b/packages/core/src/tanagerreach_core/_workspace_quota.py
@@ -14,6 +14,8 @@
 # Rate that a home issues at least while another home may be active, since it learns only later
 # which instances use it. The excess stays below what the platform tolerates (20 requests).
 DISPUTED_RATE_MIN_PER_S = 2.0
+# Wait at an instance that issues nothing, as the right is about to move.
+NO_RATE_WAIT_S = 0.3
 
 
 class _Bucket:
@@ -76,7 +78,7 @@
         if bucket.level >= 1:
             bucket.level -= 1
             return 0.0
-        return (1 - bucket.level) / rate_per_s if rate_per_s > 0 else 1.0
+        return (1 - bucket.level) / rate_per_s if rate_per_s > 0 else NO_RATE_WAIT_S
 
     def give_back(self, workspace: str) -> None:
         """Take back one unit that was granted to a request that did not run."""
@@ -84,6 +86,23 @@
         if bucket is not None:
             bucket.level = min(bucket.limit.burst, bucket.level + 1)
 
+    def take_level(self, workspace: str) -> float:
+        """Empty a workspace's bucket.
+
+        :returns: the units that were in it.
+        """
+        bucket = self._buckets.get(workspace)
+        if bucket is None:
+            return 0.0
+        level, bucket.level = bucket.level, 0.0
+        return level
+
+    def add_level(self, workspace: str, level: float) -> None:
+        """Add units to a workspace's bucket, as far as there is one and it has room."""
+        bucket = self._buckets.get(workspace)
+        if bucket is not None:
+            bucket.level = min(bucket.limit.burst, bucket.level + level)
+
     def drop_all_except(self, workspaces: set[str]) -> None:
         """Drop the buckets of workspaces that no longer exist."""
         for name in set(self._buckets) - workspaces:
--- a/packages/core/src/tanagerreach_core/placement.py
+++ b/packages/core/src/tanagerreach_core/placement.py
@@ -10,6 +10,7 @@
 from ._placement import PlacementEvent, ServicePlacement, awaits_retry, may_retry
 from ._placement_messages import NO_NOTICE, TargetNotice
 from ._quota_grants import QuotaGrants
+from ._quota_home import QuotaDecision, QuotaHome
 from ._rollout import (
     Rollout,
     RolloutFacts,
@@ -55,7 +56,9 @@
     "TargetNotice",
     "TargetNotices",
     "WaitingRequest",
+    "QuotaDecision",
     "QuotaGrants",
+    "QuotaHome",
     "WorkspaceQuota",
     "awaits_retry",
     "digest_parts",
--- a/packages/core/tests/home_replay.py
+++ b/packages/core/tests/home_replay.py
@@ -32,6 +32,8 @@
             random=Random(number),
         )
         self.is_leaving = False
+        # Times of a replay may be negative.
+        self.started_ms = int(MS_PER_S * (started_s + 1000.0))
 
     def state(self, now_s):
         return PeerState(
@@ -42,6 +44,8 @@
             is_leaving=self.is_leaving,
             is_serving=True,
             suspected_names=self.table.suspected_names(now_s),
+            started_ms=self.started_ms,
+            returned_names=self.table.returned_names(now_s),
         )
 
     def heartbeat(self, now_s):
--- a/packages/core/tests/test_peer_table.py
+++ b/packages/core/tests/test_peer_table.py
@@ -114,6 +114,33 @@
         self.assertIsNot(peer_table.homes(b"s:a", 9.7)[0], first)
         self.assertIs(peer_table.homes(b"s:a", 10.5)[0], first)
 
+    def test_instance_that_knows_no_members_is_the_whole_fleet(self):
+        """Guards against instances that start together and each issue a whole right."""
+        peer_table = PeerTable(own_name="i0", heartbeat_s=0.8, now_s=10.0)
+        peer_table.knows_members = False
+        self.assertEqual(peer_table.lent_share(b"w:w", 10.5), 0.0)
+        self.assertEqual(peer_table.own_share(10.5), 0.0)
+        # Neither the store nor a peer replies, so that it serves alone.
+        self.assertEqual(peer_table.lent_share(b"w:w", 13.5), 1.0)
+        for name in NAMES[1:]:
+            peer_table.add(name, f"{name}:1", 10.6)
+        peer_table.knows_members = True
+        self.assertAlmostEqual(peer_table.lent_share(b"w:w", 10.7), 1 / len(NAMES))
+
+    def test_new_run_lends_what_its_earlier_run_lent(self):
+        """Guards against a part that is used by an instance that started and by its home too."""
+        own = home_name(make_peer_table("i0", NAMES, 0.0), "i0", b"w:w", 0.1)
+        peer_table = make_peer_table(own, NAMES, 20.0)
+        self.assertEqual(peer_table.lent_share(b"w:w", 20.1), 1.0)
+        other = next(name for name in NAMES if name != own)
+        hear(peer_table, other, 20.2, started_ms=20_100)
+        self.assertAlmostEqual(peer_table.lent_share(b"w:w", 20.3), 1 - 1 / len(NAMES))
+        for at_s in (20.8, 21.4, 22.0, 22.6):
+            for name in NAMES:
+                if name != own:
+                    hear(peer_table, name, at_s, started_ms=20_100 if name == other else 0)
+        self.assertEqual(peer_table.lent_share(b"w:w", 22.8), 1.0)
+
     def test_peer_that_was_just_named_is_kept(self):
         """Guards against a peer that expires before its first heartbeat."""
         peer_table = PeerTable(own_name="i0", heartbeat_s=0.8)
--- a/packages/core/tests/test_quota_at_size.py
+++ b/packages/core/tests/test_quota_at_size.py
@@ -2,11 +2,13 @@
 
 import unittest
 
-from home_replay import HOMES_TRIED, INSTANCE_COUNT, HomeReplay, Instance
-from tanagerreach_core.placement import WorkspaceQuota
-from tanagerreach_core.rights import WorkspaceLimit
+from home_replay import HOMES_TRIED, HomeReplay, Instance
+from tanagerreach_core.placement import QuotaHome
+from tanagerreach_core.rights import WorkspaceLimit, workspace_rendezvous_key
 
-KEY = b"w:w"
+WORKSPACE = "w"
+KEY = workspace_rendezvous_key(WORKSPACE)
+HANDOVER_INTERVAL_S = 0.1
 # The platform's bound on a workspace's requests.
 WINDOW_S = 5.0
 OVERAGE = 1.1
@@ -18,7 +20,7 @@
 
     def __init__(self, name, started_s):
         super().__init__(name, started_s)
-        self.quota = WorkspaceQuota()
+        self.quota = QuotaHome(peer_table=self.table)
 
 
 class QuotaReplay(HomeReplay):
@@ -28,12 +30,22 @@
         super().__init__(seed, KEY, requests_per_s)
         self.limit = limit
         self.granted_s = []
+        self.handed_over_s = 0.0
 
     def make_instance(self, name, started_s):
         return _Instance(name, started_s)
 
     def advance(self, now_s):
-        """Do nothing, as a quota is issued at once."""
+        """Hand quotas over; a quota is issued at once."""
+        if now_s - self.handed_over_s < HANDOVER_INTERVAL_S:
+            return
+        self.handed_over_s = now_s
+        for name, instance in self.instances.items():
+            if not self.is_up(name, now_s):
+                continue
+            for address, handover in instance.quota.handovers(now_s):
+                if self.is_up(address, now_s):
+                    self.instances[address].quota.adopt(name, handover, now_s)
 
     def request(self, requester, now_s):
         if self.take(requester, now_s):
@@ -44,30 +56,31 @@
 
         :returns: whether it was granted.
         """
-        for peer in requester.table.homes(KEY, now_s, most=HOMES_TRIED):
+        homes = requester.table.homes(KEY, now_s, most=HOMES_TRIED)
+        uses_own_part = homes and requester.table.uses_own_part(homes[0], now_s)
+        if uses_own_part and self.issue(requester, now_s, is_own_part=True):
+            return True
+        has_reply = False
+        for peer in homes:
             if peer is None:
                 return self.issue(requester, now_s)
             home = self.instances[peer.name]
             if self.is_up(peer.name, now_s):
                 home.learn_suspected(requester, now_s)
                 if self.replies(peer.name, now_s):
-                    return self.issue(home, now_s)
+                    is_granted = self.issue(home, now_s)
+                    if is_granted or not requester.table.has_just_become_home(peer, now_s):
+                        return is_granted
+                    has_reply = True
+                    continue
             requester.table.suspect(peer.name, now_s)
             if self.is_up(peer.name, now_s):
                 home.learn_suspected(requester, now_s)
-        return self.issue(requester, now_s, own_share=1 / INSTANCE_COUNT)
-
-    def issue(self, home, now_s, own_share=None):
-        table = home.table
-        wait_s = home.quota.take(
-            "w",
-            self.limit,
-            now_s,
-            fleet_share=own_share or table.fleet_share(now_s),
-            lent_share=own_share or table.lent_share(KEY, now_s),
-            is_disputed=table.has_competing_home(KEY, now_s),
-        )
-        return wait_s == 0
+        return not has_reply and self.issue(requester, now_s, is_own_part=True)
+
+    def issue(self, home, now_s, *, is_own_part=False):
+        decision = home.quota.take(WORKSPACE, self.limit, now_s, is_own_part=is_own_part)
+        return decision.wait_s == 0
 
     def count(self, start_s, length_s):
         return sum(start_s <= at_s < start_s + length_s for at_s in self.granted_s)
--- a/packages/daemon/src/tanagerreachd/gateway/_home_server.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_home_server.py
@@ -12,6 +12,7 @@
     PlacementReply,
     PlacementRequest,
     PlacementState,
+    QuotaHandover,
     QuotaReply,
     QuotaRequest,
     QuotaReturn,
@@ -22,17 +23,13 @@
     PeerTable,
     PlacementTarget,
     QuotaGrants,
+    QuotaHome,
     RolloutFacts,
     ServicePlacement,
     TargetNotice,
-    WorkspaceQuota,
     digest_parts,
 )
-from tanagerreach_core.rights import (
-    WorkspaceLimit,
-    service_rendezvous_key,
-    workspace_rendezvous_key,
-)
+from tanagerreach_core.rights import WorkspaceLimit, service_rendezvous_key
 
 from .. import _clock
 from .._logs import InstanceLog
@@ -107,7 +104,7 @@
         self._log = log
         self._services: dict[str, ServicePlacement] = {}
         self._waiting: dict[str, dict[tuple[str, int], ReplyCallback]] = {}
-        self._quota = WorkspaceQuota()
+        self._quota = QuotaHome(peer_table=peer_table)
         self._quota_grants = QuotaGrants()
         self._list_age_ms = list_age_ms
         self._last_request_s: dict[str, float] = {}
@@ -199,13 +196,12 @@
         quota_request: QuotaRequest,
         *,
         requester: str = "",
-        own_share: float | None = None,
+        is_own_part: bool = False,
     ) -> QuotaReply:
         """Reply to a request for one unit of a workspace's quota.
 
         :param requester: instance that requests it, empty for this one.
-        :param own_share: share of the rate that may be issued here when this instance decides
-            alone; by default the share of the fleet that uses it as the workspace's home.
+        :param is_own_part: whether this instance issues its own part of the rate only.
         """
         workspace = quota_request.workspace
         resolver = self._resolver()
@@ -216,27 +212,40 @@
         if key in self._quota_grants:
             return QuotaReply(call_id=quota_request.call_id, is_granted=True)
         now_s = _clock.now_s()
-        rendezvous_key = workspace_rendezvous_key(workspace)
-        fleet_share = lent_share = own_share
-        if own_share is None:
-            fleet_share = self._peer_table.fleet_share(now_s)
-            lent_share = self._peer_table.lent_share(rendezvous_key, now_s)
-        wait_s = self._quota.take(
+        decision = self._quota.take(
             workspace,
             WorkspaceLimit(rate_per_s=limit.rate_per_s, burst=limit.burst),
             now_s,
-            fleet_share=fleet_share,
-            lent_share=lent_share,
-            is_disputed=self._peer_table.has_competing_home(rendezvous_key, now_s),
+            is_own_part=is_own_part,
         )
-        if wait_s == 0:
+        is_granted = decision.wait_s == 0
+        if is_granted:
             self._quota_grants.record(key, now_s)
         return QuotaReply(
             call_id=quota_request.call_id,
-            is_granted=wait_s == 0,
-            retry_after_ms=int(1000 * wait_s),
+            is_granted=is_granted,
+            retry_after_ms=int(1000 * decision.wait_s),
             rate_per_s=limit.rate_per_s,
-            fleet_percent=round(100 * lent_share),
+            fleet_percent=round(100 * decision.lent_share),
+        )
+
+    def quota_handovers(self) -> list[tuple[str, QuotaHandover]]:
+        """Give up the quotas that have another home by now.
+
+        :returns: the addresses of the new homes, and the messages for them.
+        """
+        return self._quota.handovers(_clock.now_s())
+
+    def adopt_quota(self, sender: str, message: QuotaHandover) -> None:
+        """Adopt the quota of a workspace's former home."""
+        is_adopted = self._quota.adopt(sender, message, _clock.now_s())
+        self._log.info(
+            "quota handed over",
+            workspace=message.workspace,
+            former_home=sender,
+            fleet_percent=round(100 * message.lent_share),
+            level=round(message.level, 1),
+            is_adopted=is_adopted,
         )
 
     def take_back_quota(self, message: QuotaReturn, *, requester: str = "") -> None:
--- a/packages/daemon/src/tanagerreachd/gateway/_instance.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_instance.py
@@ -19,6 +19,7 @@
     PlacementCompletion,
     PlacementReply,
     PlacementRequest,
+    QuotaHandover,
     QuotaReply,
     QuotaRequest,
     QuotaReturn,
@@ -82,6 +83,7 @@
 HEARTBEAT_S = 0.6
 # A home that crashes loses the failure observations of at most this time.
 DIGEST_INTERVAL_S = 0.4
+HANDOVER_INTERVAL_S = 0.1
 # An instance that knows no members or no targets after this time, as neither a peer nor the store
 # replies, reports ready nevertheless and serves alone.
 STANDALONE_START_S = 3.0
@@ -122,6 +124,7 @@
         self._is_leaving = False
         self._is_ready_logged = False
         self._started_s = _clock.now_s()
+        self._started_ms = int(time.time() * 1000)
         self._resolver: Resolver | None = None
         self._placed_by_cost: frozenset[str] = frozenset()
         self._decodes_paths = dialect.decodes_paths
@@ -171,7 +174,7 @@
             self._link = PeerLink(
                 address=self._peer_address(settings.host),
                 sender=InstanceIncarnation(
-                    instance_id=settings.instance_name, incarnation=int(time.time() * 1000)
+                    instance_id=settings.instance_name, incarnation=self._started_ms
                 ),
                 codec=PeerCodec(secret=settings.fleet_secret.encode()),
                 clock=HybridClock(),
@@ -362,6 +365,7 @@
         self._loops.start(self._membership.run_heartbeat)
         self._loops.start(self._membership.pass_on_news, TICK_S)
         self._loops.start(self._send_digests, DIGEST_INTERVAL_S)
+        self._loops.start(self._send_handovers, HANDOVER_INTERVAL_S)
         self._loops.start(self._watch.run)
         self._loops.start(self._sweep, SWEEP_INTERVAL_S)
         self._loops.start(self._rooms.report, CLOSES_REPORT_INTERVAL_S)
@@ -376,6 +380,7 @@
         self._peer_table.own_is_home = False
         self._log.info("instance stops", active_count=self._callers.active_count)
         self._run_stop_step(self._membership.send_heartbeats)
+        self._run_stop_step(self._send_handovers)
         self._run_stop_step(self._send_digests)
         self._run_stop_step(self._callers.begin_drain)
         self._run_stop_step(self._callers.close_idle_connections)
@@ -427,6 +432,11 @@
             if next_home is not None:
                 self._link.send(next_home.address, digest)
 
+    def _send_handovers(self) -> None:
+        """Send the quotas that have another home by now to that home."""
+        for address, handover in self._homes.quota_handovers():
+            self._link.send(address, handover)
+
     def _state(self, beat: int) -> PeerState:
         now_s = _clock.now_s()
         return PeerState(
@@ -439,6 +449,8 @@
             configuration_version=self._operators.version,
             suspected_names=self._peer_table.suspected_names(now_s),
             crash_reports=self._crashes.reports(now_s),
+            started_ms=self._started_ms,
+            returned_names=self._peer_table.returned_names(now_s),
         )
 
     def _on_message(
@@ -466,6 +478,7 @@
             QuotaRequest: self._on_quota_request,
             QuotaReply: lambda _name, _, message: calls.deliver(message),
             QuotaReturn: lambda name, _, message: homes.take_back_quota(message, requester=name),
+            QuotaHandover: lambda name, _, message: homes.adopt_quota(name, message),
             RefusalNotice: lambda _name, _, message: homes.record_refusal(message.service),
             FailureDigest: lambda _name, _, message: homes.adopt_digest(message),
             RolloutProgress: lambda _name, _, message: self._rollouts.adopt(message),
--- a/packages/daemon/src/tanagerreachd/gateway/_membership.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_membership.py
@@ -60,7 +60,6 @@
         "_registration_requested",
         "_send",
         "_settings",
-        "knows_members",
     )
 
     def __init__(
@@ -96,7 +95,12 @@
         self._is_leaving = False
         self._asked_s = float("-inf")
         self._lost_home_s = float("-inf")
-        self.knows_members = False
+        peer_table.knows_members = False
+
+    @property
+    def knows_members(self) -> bool:
+        """Whether the store or a peer has told which instances there are."""
+        return self._peer_table.knows_members
 
     @property
     def is_speaker(self) -> bool:
@@ -167,7 +171,7 @@
         now_s = _clock.now_s()
         if message.kind is NewsKind.COMPLETE:
             self._has_news = True
-            self.knows_members = True
+            self._peer_table.knows_members = True
         found, messages = self._news.record_news(sender, message, now_s)
         for address, passed_on in messages:
             self._send(address, passed_on)
@@ -219,7 +223,7 @@
 
     def _add_members(self, members: dict[str, Member]) -> None:
         now_s = _clock.now_s()
-        self.knows_members = True
+        self._peer_table.knows_members = True
         added = [
             name
             for name, member in members.items()
--- a/packages/daemon/src/tanagerreachd/gateway/_placement_client.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_placement_client.py
@@ -176,7 +176,13 @@
 
     def take_quota(self, workspace: str) -> QuotaUnit:
         """Take one unit of a workspace's quota."""
-        for home in self._homes_of(workspace_rendezvous_key(workspace)):
+        homes = self._homes_of(workspace_rendezvous_key(workspace))
+        if homes and self._peer_table.uses_own_part(homes[0], _clock.now_s()):
+            unit = self._take_own_part(workspace)
+            if unit.reply.is_granted:
+                return unit
+        refused: QuotaUnit | None = None
+        for home in homes:
             quota_request = QuotaRequest(
                 call_id=self._calls.next_id(),
                 workspace=workspace,
@@ -184,7 +190,8 @@
             )
             if home is None:
                 reply = self._homes.take_quota(quota_request)
-                return QuotaUnit(reply=reply, workspace=workspace, home=None)
+                unit = QuotaUnit(reply=reply, workspace=workspace, home=None)
+                return unit if reply.is_granted else refused or unit
             queue = self._calls.open(quota_request.call_id)
             try:
                 reply = self._calls.call(home.address, quota_request, queue)
@@ -193,11 +200,22 @@
                 continue
             finally:
                 self._calls.close(quota_request.call_id)
-            if reply is not None:
-                return QuotaUnit(reply=reply, workspace=workspace, home=home)
-            self._record_lost_home(home, workspace)
+            if reply is None:
+                self._record_lost_home(home, workspace)
+                continue
+            unit = QuotaUnit(reply=reply, workspace=workspace, home=home)
+            if reply.is_granted:
+                return unit
+            refused = refused or unit
+            if not self._peer_table.has_just_become_home(home, _clock.now_s()):
+                return refused
+            # The home before may still hold the right.
+        return refused or self._take_own_part(workspace)
+
+    def _take_own_part(self, workspace: str) -> QuotaUnit:
+        """Take one unit of this instance's own part of a workspace's quota."""
         quota_request = QuotaRequest(call_id=self._calls.next_id(), workspace=workspace)
-        reply = self._homes.take_quota(quota_request, own_share=1 / self._peer_table.size())
+        reply = self._homes.take_quota(quota_request, is_own_part=True)
         return QuotaUnit(reply=reply, workspace=workspace, home=None)
 
     def return_quota(self, unit: QuotaUnit) -> None:
