Let the product's own stop go on as well, and test requests that are too large

Messages of a gateway that need no reply are never an error of their sender; only a request whose reply is awaited is, so that the instance decides alone.

--- a/packages/core/src/tanagerreach_core/_quota_home.py
+++ b/packages/core/src/tanagerreach_core/_quota_home.py
@@ -92,8 +92,9 @@
     def drop_all_except(self, workspaces: set[str]) -> None:
         """Drop the quotas of workspaces that no longer exist."""
         self._quota.drop_all_except(workspaces)
-        for name in set(self._uses) - workspaces:
-            del self._uses[name]
+        for name in (self._uses.keys() | self._inherited.keys()) - workspaces:
+            self._uses.pop(name, None)
+            self._inherited.pop(name, None)
 
     def handovers(self, now_s: float) -> list[tuple[str, QuotaHandover]]:
         """Hand over the parts of the instances that use another home by now.
--- a/packages/daemon/src/tanagerreachd/_daemon.py
+++ b/packages/daemon/src/tanagerreachd/_daemon.py
@@ -7,7 +7,7 @@
 
 from . import _clock
 from ._logs import InstanceLog
-from ._loops import Loops
+from ._loops import Loops, run_step
 from ._parts import Parts
 from ._service_dispatcher import TICK_S
 from ._settings import Settings
@@ -86,7 +86,7 @@
         parts.timeline.record("instance-drains", {})
         parts.listeners.begin_drain()
         notice_ends_s = _clock.now_s() + self._settings.drain_notice_s
-        self._give_up_rights()
+        run_step(self._give_up_rights, self._log.failure)
         gevent.sleep(max(0.0, notice_ends_s - _clock.now_s()))
         unfinished = parts.listeners.finish_requests(self._settings.drain_limit_s)
         self._log.info("instance stops", unfinished_request_count=unfinished)
--- a/packages/daemon/src/tanagerreachd/_loops.py
+++ b/packages/daemon/src/tanagerreachd/_loops.py
@@ -41,3 +41,14 @@
 def run_all(steps: list[Callable[[], None]]) -> None:
     """Run steps concurrently until all have ended."""
     gevent.joinall([gevent.spawn(step) for step in steps], raise_error=True)
+
+
+def run_step(step: Callable[[], None], on_failure: Callable[[BaseException], None]) -> None:
+    """Run one step of a sequence that goes on when the step fails.
+
+    :param on_failure: called with the exception of the step.
+    """
+    try:
+        step()
+    except Exception as error:
+        on_failure(error)
--- a/packages/daemon/src/tanagerreachd/gateway/_instance.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_instance.py
@@ -41,7 +41,7 @@
 from .._http_server import CallerServer, HttpLimits
 from .._listeners import binding
 from .._logs import InstanceLog
-from .._loops import Loops
+from .._loops import Loops, run_step
 from .._metrics import Metrics
 from .._peer_codec import PeerCodec
 from .._peer_link import PeerLink
@@ -181,7 +181,7 @@
                 restart_timeout_s=RESTART_TIMEOUT_S,
                 on_sent=self._traffic.add_message,
             )
-        self._calls = PeerCalls(send=self._link.send_request)
+        self._calls = PeerCalls(send=self._link.send, send_request=self._link.send_request)
         self._membership = Membership(
             settings=settings,
             platform=self._platform,
@@ -379,28 +379,24 @@
         self._application.begin_stop(accepts_until_s=stopped_s + DRAIN_NOTICE_S, ends_s=ends_s)
         self._peer_table.own_is_home = False
         self._log.info("instance stops", active_count=self._callers.active_count)
-        self._run_stop_step(self._membership.send_heartbeats)
-        self._run_stop_step(self._send_handovers)
-        self._run_stop_step(self._send_digests)
-        self._run_stop_step(self._callers.begin_drain)
-        self._run_stop_step(self._callers.close_idle_connections)
+        for step in (
+            self._membership.send_heartbeats,
+            self._send_handovers,
+            self._send_digests,
+            self._callers.begin_drain,
+            self._callers.close_idle_connections,
+        ):
+            run_step(step, self._log.failure)
         gevent.sleep(DRAIN_NOTICE_S)
-        self._run_stop_step(self._membership.send_heartbeats)
+        run_step(self._membership.send_heartbeats, self._log.failure)
         # After a pause of the process, connections may wait to be accepted; closing resets them.
         gevent.sleep(ACCEPT_PAUSE_S)
-        self._run_stop_step(self._callers.close_listener)
+        run_step(self._callers.close_listener, self._log.failure)
         unfinished_count = self._callers.finish_requests(ends_s)
         self._log.info("instance stopped", unfinished_count=unfinished_count)
         self._loops.stop()
         self._link.stop()
 
-    def _run_stop_step(self, step: Callable[[], None]) -> None:
-        """Run a step of the stop; the stop goes on when it fails."""
-        try:
-            step()
-        except Exception as error:
-            self._log.failure(error)
-
     def _on_reload(self) -> None:
         # No setting can change while an instance runs; caller limits are part of the configuration.
         self._log.info("settings reload ignored", reason="no setting can change at run time")
--- a/packages/daemon/src/tanagerreachd/gateway/_peer_calls.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_peer_calls.py
@@ -25,14 +25,16 @@
     Peers know an instance by its name and may still hold calls of its earlier run. The ids of each
     run therefore start at a random number, so that no run uses an id of another.
 
-    :param send: sends a message to an address; raises ``MessageTooLargeError`` when that is not
-        possible.
+    :param send: sends a message to an address.
+    :param send_request: the same for a message whose reply is awaited; raises
+        ``MessageTooLargeError`` when that is not possible. By default it is ``send``.
     """
 
-    __slots__ = ("_ids", "_unconfirmed", "_waiting", "send")
+    __slots__ = ("_ids", "_send_request", "_unconfirmed", "_waiting", "send")
 
-    def __init__(self, *, send: Send) -> None:
+    def __init__(self, *, send: Send, send_request: Send | None = None) -> None:
         self.send = send
+        self._send_request = send_request or send
         # Zero is the id of no call; see ``RESPONDED``.
         self._ids = itertools.count(secrets.randbits(FIRST_CALL_ID_BITS) + 1)
         self._waiting: dict[int, Queue] = {}
@@ -60,7 +62,7 @@
         """
         timeout_s = REPLY_TIMEOUT_S
         for _ in range(SEND_COUNT):
-            self.send(address, message)
+            self._send_request(address, message)
             try:
                 return queue.get(timeout=timeout_s)
             except Empty:
--- a/packages/daemon/tests/test_peer_calls.py
+++ b/packages/daemon/tests/test_peer_calls.py
@@ -6,12 +6,18 @@
 import gevent
 from tanagerreach_core.config import Configuration, Resolver, Service
 from tanagerreach_core.messages import (
+    PeerState,
     PlacementCompletion,
+    PlacementReply,
     PlacementRequest,
     PlacementState,
+    QuotaReply,
 )
 from tanagerreach_core.placement import CrashStreaks, PeerTable
+from tanagerreach_core.rights import workspace_rendezvous_key
 from tanagerreach_core.traffic import Outcome
+from tanagerreachd import _clock
+from tanagerreachd._peer_codec import MessageTooLargeError
 from tanagerreachd.gateway import ListedTarget, Listing, StoredItem
 from tanagerreachd.gateway._home_server import HomeServer
 from tanagerreachd.gateway._peer_calls import COMPLETION_RETRY_S, PeerCalls
@@ -37,6 +43,32 @@
     )
 
 
+def hear(peer_table, name, now_s):
+    """Let a peer table hear a peer that serves; return the peer."""
+    state = PeerState(name=name, beat=1, address=f"{name}:1", is_serving=True)
+    peer_table.record_state(state, data_centre="a", heard_s=now_s, now_s=now_s, news_delay_s=0.0)
+    return peer_table.peer(name)
+
+
+def acquire(client, service):
+    """Acquire a placement for a request that may run once."""
+    return client.acquire(
+        lambda call_id, accepts_stale: PlacementRequest(
+            call_id=call_id,
+            service=service,
+            workspace="w",
+            priority=1,
+            remaining_ms=3000,
+            objective_ms=3000,
+            is_retryable=False,
+            is_retry=False,
+            data_centre="a",
+            fingerprint=b"",
+            accepts_stale=accepts_stale,
+        )
+    )
+
+
 class InstanceRun:
     """One run of the instance i1, whose messages reach the home at once."""
 
@@ -65,21 +97,7 @@
             self.client.release_late(HOME_ADDRESS, reply)
 
     def acquire(self, service):
-        return self.client.acquire(
-            lambda call_id, accepts_stale: PlacementRequest(
-                call_id=call_id,
-                service=service,
-                workspace="w",
-                priority=1,
-                remaining_ms=3000,
-                objective_ms=3000,
-                is_retryable=False,
-                is_retry=False,
-                data_centre="a",
-                fingerprint=b"",
-                accepts_stale=accepts_stale,
-            )
-        )
+        return acquire(self.client, service)
 
     def acquire_later(self, service):
         """Acquire a placement in a greenlet, and let it begin."""
@@ -209,5 +227,85 @@
         self.assertEqual(self.home.outcomes, [Outcome.BROKEN_AFTER_HEAD])
 
 
+class QuotaClientTest(unittest.TestCase):
+    """An instance that requests a workspace's quota from two homes, or decides alone."""
+
+    def setUp(self):
+        self.now_s = _clock.now_s()
+        self.peer_table = PeerTable(own_name="own", heartbeat_s=100.0)
+        for name in ("h1", "h2"):
+            hear(self.peer_table, name, self.now_s).live_since_s = self.now_s - 100.0
+        self.peer_table.own_is_home = False
+        granted = PlacementReply(call_id=1, state=PlacementState.GRANTED)
+        self.homes = mock.Mock(place=lambda _name, _message, send_reply: send_reply(granted))
+        self.homes.take_quota.side_effect = self.own_reply
+        self.is_own_granted = False
+        # Replies of the homes by address; an error is raised at the send.
+        self.replies = {}
+        self.asked = []
+        self.calls = PeerCalls(send=mock.Mock(), send_request=self.send_request)
+        self.client = PlacementClient(
+            own_name="own",
+            peer_table=self.peer_table,
+            calls=self.calls,
+            homes=self.homes,
+            crashes=CrashStreaks(),
+            on_home_lost=mock.Mock(),
+            log=mock.Mock(),
+        )
+
+    def own_reply(self, message, *, is_own_part=False):
+        self.asked.append("own part" if is_own_part else "own")
+        return QuotaReply(call_id=message.call_id, is_granted=self.is_own_granted)
+
+    def send_request(self, address, message):
+        self.asked.append(address)
+        is_granted = self.replies[address]
+        if is_granted is None:
+            raise MessageTooLargeError("QuotaRequest of 20000 bytes exceeds the datagram limit")
+        self.calls.deliver(QuotaReply(call_id=message.call_id, is_granted=is_granted))
+
+    def first_home(self):
+        home = self.peer_table.homes(workspace_rendezvous_key("w"), self.now_s)[0]
+        other = next(peer for peer in self.peer_table.peers if peer is not home)
+        return home, other
+
+    def test_refusal_of_a_settled_home_is_final(self):
+        """Guards against requests beyond the quota that ask several homes each."""
+        home, other = self.first_home()
+        self.replies = {home.address: False, other.address: True}
+        self.assertFalse(self.client.take_quota("w").reply.is_granted)
+        self.assertEqual(self.asked, [home.address])
+
+    def test_home_before_is_not_asked(self):
+        """Guards against refusals within the quota by a home that does not hold it yet."""
+        home, other = self.first_home()
+        home.live_since_s = _clock.now_s() - 2.0
+        self.replies = {home.address: False, other.address: True}
+        self.assertTrue(self.client.take_quota("w").reply.is_granted)
+        self.assertEqual(self.asked, [home.address, other.address])
+
+    def test_own_part_is_not_used_after_a_return(self):
+        """Guards against refusals while the home does not count this instance's part yet."""
+        for peer in self.peer_table.peers:
+            peer.live_since_s = _clock.now_s()
+        home = self.peer_table.homes(workspace_rendezvous_key("w"), self.now_s)[0]
+        self.replies = dict.fromkeys(("h1:1", "h2:1"), True)
+        self.is_own_granted = True
+        self.assertTrue(self.client.take_quota("w").reply.is_granted)
+        self.is_own_granted = False
+        self.assertTrue(self.client.take_quota("w").reply.is_granted)
+        self.assertEqual(self.asked, ["own part", "own part", home.address])
+
+    def test_request_that_is_too_large_blames_the_homes(self):
+        """Guards against sound homes that are suspected as a request could not be sent to them."""
+        self.replies = dict.fromkeys(("h1:1", "h2:1"))
+        self.assertFalse(self.client.take_quota("w").reply.is_granted)
+        self.assertEqual(self.asked[-1], "own part")
+        placement = acquire(self.client, "s1")
+        self.assertTrue(placement.decided_alone)
+        self.assertEqual(self.peer_table.suspected_names(_clock.now_s()), [])
+
+
 if __name__ == "__main__":
     unittest.main()
