--- a/packages/core/src/tanagerreach_core/_peer_table.py
+++ b/packages/core/src/tanagerreach_core/_peer_table.py
@@ -415,7 +415,7 @@
         """Return whether this instance's own part of a right is not with its home yet."""
         return home is not None and now_s - home.live_since_s < OWN_PART_S
 
-    def has_just_become_home(self, home: Peer | None, now_s: float) -> bool:
+    def is_settling(self, home: Peer | None, now_s: float) -> bool:
         """Return whether a home may not issue this instance's part of a right yet."""
         return home is not None and not _is_settled(home, now_s)
 
--- a/packages/core/tests/test_quota_at_size.py
+++ b/packages/core/tests/test_quota_at_size.py
@@ -69,7 +69,7 @@
                 home.learn_suspected(requester, now_s)
                 if self.replies(peer.name, now_s):
                     is_granted = self.issue(home, now_s)
-                    if is_granted or not requester.table.has_just_become_home(peer, now_s):
+                    if is_granted or not requester.table.is_settling(peer, now_s):
                         return is_granted
                     has_reply = True
                     continue
--- a/packages/core/tests/test_quota_moves.py
+++ b/packages/core/tests/test_quota_moves.py
@@ -133,7 +133,7 @@
                 is_granted = self.issue(home, now_s)
                 if replies:
                     has_reply = True
-                    if is_granted or not table.has_just_become_home(peer, now_s):
+                    if is_granted or not table.is_settling(peer, now_s):
                         return is_granted
                     continue
             table.suspect(peer.name, now_s)
--- a/packages/daemon/src/tanagerreachd/gateway/_placement_client.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_placement_client.py
@@ -207,7 +207,7 @@
             if reply.is_granted:
                 return unit
             refused = refused or unit
-            if not self._peer_table.has_just_become_home(home, _clock.now_s()):
+            if not self._peer_table.is_settling(home, _clock.now_s()):
                 return refused
             # The home before may still hold the right.
         return refused or self._take_own_part(workspace)
