--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -44,6 +44,7 @@
     "test_quickstart",
     "test_placement",
     "test_rights_invariants",
+    "test_quota_moves",
 )
 
 
