--- a/packages/core/src/tanagerreach_core/_peer_table.py
+++ b/packages/core/src/tanagerreach_core/_peer_table.py
@@ -399,6 +399,12 @@
             users = max(users, min(using, inherited * self._fleet_size(now_s)))
         return self._share(users, now_s)
 
+    def starts_with_fleet(self, now_s: float) -> bool:
+        """Return whether this instance is new and hears no peer that is not."""
+        return self.own_is_new(now_s) and not any(
+            self.is_live(peer, now_s) and not peer.is_new for peer in self._peers.values()
+        )
+
     def own_rank(self, rendezvous_key: bytes) -> int:
         """Return how many known instances come before this one for a key."""
         return self._preference(rendezvous_key).index(None)
--- a/packages/core/src/tanagerreach_core/_quota_home.py
+++ b/packages/core/src/tanagerreach_core/_quota_home.py
@@ -81,8 +81,10 @@
             use = self._uses.setdefault(workspace, _Use(lent_share=lent_share))
             use.used_s = now_s
             if self._peer_table.own_is_new(now_s):
+                is_first = self._peer_table.starts_with_fleet(now_s)
                 is_preferred = self._peer_table.own_rank(rendezvous_key) < NEW_HOMES_MAX
-                initial_share = NEW_HOME_BURST_SHARE if is_preferred and lent_share else 0.0
+                issues_first = is_first and is_preferred and lent_share
+                initial_share = NEW_HOME_BURST_SHARE if issues_first else 0.0
         wait_s = self._quota.take(
             workspace,
             limit,
