Log and count requests that arrive on a closing connection

A request that crosses the close of its connection is read by the handler or by the lingering close, and dropped.

The end of a connection now notes the size of the input that is discarded and its first 8 KiB, also what the reader held already. From these the gateway logs a line `request discarded` for each request, at most 8 of a connection and within the rate bound of failed requests, with its identifier, the cause of the close and the time after it. Closed connections are counted by cause.

What is sent and when a connection closes is unchanged.

--- a/packages/daemon/src/tanagerreachd/_caller_connections.py
+++ b/packages/daemon/src/tanagerreachd/_caller_connections.py
@@ -10,6 +10,7 @@
 from tanagerreach_core.callers import BudgetDecision, CallerAccount, CallerBudget
 
 from . import _clock
+from ._lingering_close import CloseCause
 
 # Greenlet, handler, read buffer and socket of a connection that waits for a request.
 CONNECTION_BYTES = 32 * 1024
@@ -30,14 +31,29 @@
 
 
 class CallerConnection:
-    """One connection, with what it holds."""
+    """One connection, with what it holds.
 
-    __slots__ = ("_connections", "account", "socket")
+    ``close_cause`` is why it has to close, as far as is known yet; ``ended_s``, the monotonic time
+    since which nothing more is sent on it; ``dropped_input``, the beginning of a request that was
+    read after that.
+    """
+
+    __slots__ = (
+        "_connections",
+        "account",
+        "close_cause",
+        "dropped_input",
+        "ended_s",
+        "socket",
+    )
 
     def __init__(self, connections: "CallerConnections", sock: Any, account: CallerAccount) -> None:
         self._connections = connections
         self.socket = sock
         self.account = account
+        self.close_cause = CloseCause.CALLER
+        self.ended_s = 0.0
+        self.dropped_input = b""
 
     @property
     def is_evicted(self) -> bool:
--- a/packages/daemon/src/tanagerreachd/_http_server.py
+++ b/packages/daemon/src/tanagerreachd/_http_server.py
@@ -29,7 +29,15 @@
     check_header_line,
     check_line_end,
 )
-from ._lingering_close import LINGER_S, discard_input, stop_sending, stop_with_reset
+from ._lingering_close import (
+    LINGER_S,
+    CloseCause,
+    ClosedConnection,
+    DiscardedInput,
+    discard_input,
+    stop_sending,
+    stop_with_reset,
+)
 from ._sockets import peek_input, send_all
 from ._turns import Turns
 from ._upstream_errors import IncompleteResponseError
@@ -233,8 +241,16 @@
         """End the connection, and wait for the caller to close it unless many others wait."""
         self.end_connection()
         is_short = len(self.server.ending_connections) > MAX_LINGERING
-        if not (is_short or self.connection.is_evicted):
-            discard_input(self.socket)
+        connection = self.connection
+        discarded = DiscardedInput()
+        if connection.dropped_input:
+            discarded.add(connection.dropped_input, _clock.now_s() - connection.ended_s)
+        cause = connection.close_cause
+        if connection.is_evicted:
+            cause = CloseCause.NO_ROOM
+        elif not is_short:
+            discard_input(self.socket, self.rfile, discarded, connection.ended_s)
+        self.server.on_closed(ClosedConnection(cause=cause, discarded=discarded))
 
     def _handle_requests(self) -> None:
         while (result := self.handle_one_request()) is True:
@@ -266,6 +282,7 @@
         if self.is_ending:
             return
         self.server.ending_connections.add(self.socket)
+        self.connection.ended_s = _clock.now_s()
         if self.is_cut_at_end:
             stop_with_reset(self.socket)
         else:
@@ -275,6 +292,7 @@
         """End the connection, unless a request has arrived that the handler is about to read."""
         if peek_input(self.socket) is None:
             self.server.idle_handlers.discard(self)
+            self.connection.close_cause = CloseCause.STOP
             self.end_connection()
 
     def handle_one_request(self) -> Any:
@@ -309,7 +327,15 @@
 
     def read_requestline(self) -> str:
         """Wait for a request up to the idle timeout, then read its request line."""
-        received = self.rfile.peek(1)
+        try:
+            received = self.rfile.peek(1)
+        except TimeoutError:
+            if not self.is_ending:
+                self.connection.close_cause = CloseCause.IDLE_TIMEOUT
+            raise
+        if self.is_ending:
+            # Does not read from the socket, as the reader holds it.
+            self.connection.dropped_input = self.rfile.read(len(received))
         if not received or self.is_ending:
             return ""
         self.server.idle_handlers.discard(self)
@@ -424,7 +450,8 @@
         finally:
             account.serving_count -= 1
         # A head that was sent before a drain began may have announced that the connection stays.
-        if self.wsgi_input.ends_connection:
+        if self.wsgi_input.ends_connection and not self.close_connection:
+            self.connection.close_cause = CloseCause.UNREAD_BODY
             self.close_connection = True
 
     def finalize_headers(self) -> None:
@@ -438,6 +465,7 @@
                 if name.lower() != b"connection"
             ]
             self.response_headers.append((b"Connection", b"close"))
+            self.connection.close_cause = CloseCause.CLOSING_RESPONSE
         if self.command == "HEAD" and self.provided_content_length is None:
             # The target gave no length, and pywsgi would announce that of the absent body.
             self.provided_content_length = ""
@@ -475,6 +503,7 @@
     def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
         if not isinstance(ex, RequestRefusedError):
             ex = RequestRefusedError("400 Bad Request", "the request head is malformed")
+        self.connection.close_cause = CloseCause.REFUSED_HEAD
         self.server.on_refused(ex)
         return ex.status.split(" ", 1)[0], self.server.render_refusal(ex)
 
@@ -489,6 +518,8 @@
         if not issubclass(t, EXPECTED_FAILURES):
             self.server.on_failure(v)
         self.close_connection = True
+        if not issubclass(t, (gevent.GreenletExit, CallerDisconnectedError)):
+            self.connection.close_cause = CloseCause.BROKEN_RESPONSE
         if self.headers_sent and self.provided_content_length is None:
             self.is_cut_at_end = not self.response_use_chunked
         if not issubclass(t, (gevent.GreenletExit, CallerDisconnectedError)):
@@ -500,6 +531,7 @@
         if self.headers_sent:
             return
         self.headers_sent = True
+        self.connection.close_cause = CloseCause.CLOSING_RESPONSE
         with contextlib.suppress(OSError):
             self.socket.sendall(self.server.failure_response)
 
@@ -514,6 +546,7 @@
     :param failure_response: complete response to a request whose application failed.
     :param handler_class: class of the connection handlers.
     :param connections: the connections and what they may hold, by default without bounds.
+    :param on_closed: called with each closed connection.
     """
 
     max_accept = MAX_ACCEPTED_AT_ONCE
@@ -530,6 +563,7 @@
         failure_response: bytes,
         handler_class: type[CallerHandler] = CallerHandler,
         connections: CallerConnections | None = None,
+        on_closed: Callable[[ClosedConnection], None] = lambda _closed: None,
     ) -> None:
         super().__init__(
             listener, application, log=None, error_log=None, handler_class=handler_class
@@ -539,6 +573,7 @@
         self.on_refused = on_refused
         self.on_failure = on_failure
         self.failure_response = failure_response
+        self.on_closed = on_closed
         self.connections = connections or CallerConnections()
         self.turns = Turns()
         self.draining = False
--- a/packages/daemon/src/tanagerreachd/gateway/_instance.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_instance.py
@@ -308,6 +308,7 @@
             failure_response=render_failure(),
             handler_class=PipelinedRequest,
             connections=self._rooms.callers,
+            on_closed=lambda closed: request_log.connection_closed(closed, dialect.request_id),
         )
         self._ready_server = self._rooms.auxiliary_server(
             "ready",
--- a/packages/daemon/src/tanagerreachd/gateway/_pipelined_requests.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_pipelined_requests.py
@@ -168,7 +168,10 @@
         except TimeoutError:
             self.has_timed_out = True
             raise
-        return "" if self._pipeline.is_closing else line
+        if line and self._pipeline.is_closing:
+            self.connection.dropped_input = line.encode("latin-1")
+            return ""
+        return line
 
     def read_request(self, raw_requestline: str) -> bool:
         """Read and check the request head, and append the request to the pipeline."""
--- a/packages/daemon/src/tanagerreachd/gateway/_request_log.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_request_log.py
@@ -6,6 +6,7 @@
 from tanagerreach_core.traffic import Outcome
 
 from .. import _clock
+from .._lingering_close import ClosedConnection
 from .._logs import InstanceLog
 from .._metrics import Metrics
 from .._refusals import RefusalError
@@ -112,6 +113,14 @@
             "Work left at the chosen target, when a request was placed",
             ("service",),
         )
+        self._closed = metrics.counter(
+            "tanagerreach_callers_closed_total", "Closed connections of callers", ("cause",)
+        )
+        self._discarded = metrics.counter(
+            "tanagerreach_requests_discarded_total",
+            "Requests that arrived on connections that were closing, and were not handled",
+            ("cause",),
+        )
         metrics.gauge(
             "tanagerreach_log_lines_dropped",
             "Log lines of requests that were not written",
@@ -123,6 +132,25 @@
         if self._failed.take():
             self._log.info("request refused", status=status, reason=reason)
 
+    def connection_closed(self, closed: ClosedConnection, id_header: str) -> None:
+        """Record a closed connection, and the requests that arrived on it too late.
+
+        :param id_header: name of the header with a request's identifier.
+        """
+        cause = closed.cause.value
+        self._closed.add(1, cause)
+        for request in closed.discarded.requests(id_header):
+            self._discarded.add(1, cause)
+            if self._failed.take():
+                self._log.info(
+                    "request discarded",
+                    request_id=request.request_id,
+                    cause=cause,
+                    is_whole=request.is_whole,
+                    discarded_bytes=closed.discarded.size_bytes,
+                    after_close_ms=int(1000 * closed.discarded.first_after_s),
+                )
+
     def failure(self, error: BaseException) -> None:
         """Log an unexpected exception."""
         if self._failed.take():
