Log an adopted quota without a field that the log has itself

The quota had been adopted by then, so that callers saw nothing of it. The field is `unit_count` now.

The test of the homes has a log that keeps its lines and takes any field; the new test writes to a real one, and failed before with the TypeError. A second test looks through all log calls of the daemon for the log's own fields: before, it found this call only.

--- a/packages/daemon/src/tanagerreachd/gateway/_home_server.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_home_server.py
@@ -244,7 +244,7 @@
             workspace=message.workspace,
             former_home=sender,
             fleet_percent=round(100 * message.lent_share),
-            level=round(message.level, 1),
+            unit_count=round(message.level, 1),
             is_adopted=is_adopted,
         )
 
--- a/packages/daemon/tests/test_gateway_homes.py
+++ b/packages/daemon/tests/test_gateway_homes.py
@@ -1,6 +1,8 @@
 """Homes of services: placements, quota, and the directory of targets."""
 
 import dataclasses
+import io
+import json
 import unittest
 from unittest import mock
 
@@ -10,12 +12,14 @@
     PlacementCompletion,
     PlacementRequest,
     PlacementState,
+    QuotaHandover,
     QuotaRequest,
     QuotaReturn,
 )
 from tanagerreach_core.placement import CrashStreaks, PeerTable
 from tanagerreach_core.traffic import Outcome
 from tanagerreachd import _clock
+from tanagerreachd._logs import InstanceLog
 from tanagerreachd.gateway import ListedTarget, Listing, StoredItem, store_position
 from tanagerreachd.gateway._home_server import HomeServer
 from tanagerreachd.gateway._target_directory import RETURN_GRACE_S, TargetDirectory
@@ -82,7 +86,10 @@
         self.directory = TargetDirectory(decode=decoded, on_skipped=lambda item: None)
         self.directory.replace(listing(1, t1="a", t2="b"), 0.0)
         self.resolver = Resolver(self.configuration(1))
-        self.homes = HomeServer(
+        self.homes = self.make_homes(self.log)
+
+    def make_homes(self, log):
+        return HomeServer(
             resolver=lambda: self.resolver,
             peer_table=PeerTable(own_name="i0", heartbeat_s=0.8),
             directory=self.directory,
@@ -92,7 +99,7 @@
             floor_share=0.7,
             heartbeat_s=1.5,
             crashes=CrashStreaks(),
-            log=self.log,
+            log=log,
             places_by_cost=lambda service: self.places_by_cost,
         )
 
@@ -189,6 +196,17 @@
             self.homes.take_back_quota(QuotaReturn(call_id=1, workspace="w"), requester="i1")
         self.assertEqual([self.take_quota(call_id) for call_id in (2, 3)], [True, False])
 
+    def test_adopted_quota_is_not_logged(self):
+        """Guards against a field that the log has itself, so that each such line is an error."""
+        stream = io.StringIO()
+        log = InstanceLog(stream=stream)
+        self.addCleanup(log.close)
+        homes = self.make_homes(log)
+        homes.adopt_quota("i1", QuotaHandover(workspace="w", lent_share=0.25, level=1.5))
+        line = json.loads(stream.getvalue())
+        self.assertEqual((line["message_type"], line["level"]), ("quota handed over", "info"))
+        self.assertEqual((line["fleet_percent"], line["unit_count"]), (25, 1.5))
+
     def take_quota(self, call_id):
         quota_request = QuotaRequest(call_id=call_id, workspace="w")
         return self.homes.take_quota(quota_request, requester="i1").is_granted
--- a/packages/daemon/tests/test_logs.py
+++ b/packages/daemon/tests/test_logs.py
@@ -1,11 +1,14 @@
 """Tests of the JSON Lines log."""
 
+import ast
 import io
 import json
 import unittest
+from pathlib import Path
 
 from hypothesis import given
 from hypothesis import strategies as st
+from tanagerreachd import _logs
 from tanagerreachd._logs import InstanceLog, SecretFilter
 
 KEY = "k3y-of-a-caller-0123456789"
@@ -31,6 +34,19 @@
         self.assertEqual(line["message_type"], "store:unavailable")
         self.assertEqual((line["instance"], line["level"], line["revision"]), ("i-01", "info", 3))
 
+    def test_call_names_a_field_of_the_log(self):
+        """Guards against calls that fail, or whose field is replaced by the log's own."""
+        own = {"message_type", "level", "timestamp", "task_uuid", "task_level", "event", "instance"}
+        found = []
+        for file in Path(_logs.__file__).parent.rglob("*.py"):
+            for call in ast.walk(ast.parse(file.read_text())):
+                if not isinstance(call, ast.Call) or not isinstance(call.func, ast.Attribute):
+                    continue
+                is_log_call = call.func.attr in ("debug", "info", "warning", "error")
+                if is_log_call and own & {keyword.arg for keyword in call.keywords}:
+                    found.append(f"{file.name}:{call.lineno}")
+        self.assertEqual(found, [])
+
     def test_level(self):
         """Guards against lines below the configured level."""
         log, stream = self.open(level="warning")
