Leave requests unread that cross the end of an idle connection

Callers saw connections closed without an answer to a request that the instance had read: around SIGTERM, and in calm 15 s after a connection's earlier request. They may not repeat an unsafe one.

Cause: an end that its caller learns late. A stop ends idle connections, and the idle timeout others; on a link with a queue the end arrives tenths of a second later, and the caller sends on. The instance read what came and dropped it. Besides, its idle time began when a request had been read, while callers count from the response: a response of 3 s, and an end that is 0.4 s late, are enough. A raised idle time did not hold for connections that waited already.

The idle time begins with the last response now and follows the limits in force, the socket is only read when the connection goes on, and input behind the end of an idle connection is left unread while its caller closes. It is still discarded while a response has not been acknowledged, which a reset would cut.

--- a/packages/daemon/src/tanagerreachd/_http_server.py
+++ b/packages/daemon/src/tanagerreachd/_http_server.py
@@ -18,6 +18,7 @@
 
 import gevent
 from gevent.pywsgi import Input, WSGIHandler, WSGIServer, format_date_time
+from gevent.socket import wait_read
 
 from . import _clock
 from ._caller_connections import CallerConnection, CallerConnections, RequestRoom
@@ -34,6 +35,8 @@
     CloseCause,
     ClosedConnection,
     DiscardedInput,
+    await_end,
+    count_unread,
     discard_input,
     stop_sending,
     stop_with_reset,
@@ -60,6 +63,8 @@
 MAX_ACCEPTED_AT_ONCE = 16
 # Connections in excess are closed at the end of their responses without waiting for their callers.
 MAX_LINGERING = 64
+# Connections that are closed for these causes wait for a request.
+IDLE_CAUSES = (CloseCause.STOP, CloseCause.IDLE_TIMEOUT)
 # Bounds what the kernel holds of input that is not read yet.
 RECEIVE_BUFFER_BYTES = 64 * 1024
 NO_ROOM_RETRY_AFTER_S = 1.0
@@ -218,6 +223,7 @@
     connection: CallerConnection
     # What the current request holds.
     room: RequestRoom
+    _idle_since_s = 0.0
 
     def __init__(self, *arguments: Any, **named: Any) -> None:
         super().__init__(*arguments, **named)
@@ -248,6 +254,8 @@
         cause = connection.close_cause
         if connection.is_evicted:
             cause = CloseCause.NO_ROOM
+        elif cause in IDLE_CAUSES and (is_short or await_end(self.socket, connection.ended_s)):
+            count_unread(self.socket, discarded, connection.ended_s)
         elif not is_short:
             discard_input(self.socket, self.rfile, discarded, connection.ended_s)
         self.server.on_closed(ClosedConnection(cause=cause, discarded=discarded))
@@ -319,20 +327,20 @@
 
     def mark_idle(self) -> None:
         """Register the connection as one that may be closed without interrupting a request."""
+        self._idle_since_s = _clock.now_s()
         self.server.idle_handlers.add(self)
 
+    def idle_left_s(self) -> float:
+        """Return how long the connection may still wait for a request."""
+        return self._idle_since_s + self.server.limits.idle_time_s - _clock.now_s()
+
     def must_close(self) -> bool:
         """Return whether the connection has to close after this response."""
         return self.server.draining or self.wsgi_input.ends_connection
 
     def read_requestline(self) -> str:
         """Wait for a request up to the idle timeout, then read its request line."""
-        try:
-            received = self.rfile.peek(1)
-        except TimeoutError:
-            if not self.is_ending:
-                self.connection.close_cause = CloseCause.IDLE_TIMEOUT
-            raise
+        received = self._peek_request()
         if self.is_ending:
             # Does not read from the socket, as the reader holds it.
             self.connection.dropped_input = self.rfile.read(len(received))
@@ -359,6 +367,43 @@
             check_line_end(line)
         return line.decode("latin-1")
 
+    def _peek_request(self) -> bytes:
+        """Wait for the first bytes of a request, and leave them in the buffer.
+
+        :returns: an empty string at the end of the connection. What arrives after this side has
+            ended it is not read.
+        :raises TimeoutError: when the connection was idle for too long.
+        """
+        received = self._peek_received()
+        if not received:
+            self._wait_for_input()
+            if not self.is_ending:
+                received = self.rfile.peek(1)
+        return received
+
+    def _peek_received(self) -> bytes:
+        """Return what has been received, without waiting."""
+        timeout_s = self.socket.gettimeout()
+        self.socket.settimeout(0.0)
+        try:
+            return self.rfile.peek(1)
+        finally:
+            self.socket.settimeout(timeout_s)
+
+    def _wait_for_input(self) -> None:
+        while True:
+            try:
+                wait_read(self.socket.fileno(), timeout=max(0.0, self.idle_left_s()))
+                return
+            except TimeoutError:
+                gevent.sleep(0)
+                if self.is_ending or peek_input(self.socket) is not None:
+                    # The timer of a busy process expires before its input is noticed.
+                    return
+                if self.idle_left_s() <= 0:
+                    self.connection.close_cause = CloseCause.IDLE_TIMEOUT
+                    raise
+
     def _start_head_timer(self) -> None:
         limit_s = self.server.limits.header_time_s
         refusal = RequestRefusedError(
--- a/packages/daemon/src/tanagerreachd/_lingering_close.py
+++ b/packages/daemon/src/tanagerreachd/_lingering_close.py
@@ -6,6 +6,7 @@
 
 import contextlib
 import re
+import select
 import socket
 import struct
 from dataclasses import dataclass
@@ -13,13 +14,17 @@
 from typing import Any
 
 import gevent
+from gevent.socket import wait_read
 
 from . import _clock
+from ._sockets import peek_input, unacknowledged_bytes
 
 # Time for a caller to close after the end of the responses. A caller that has not received the end
 # may send a further request meanwhile.
 LINGER_S = 1.0
 READ_CHUNK_BYTES = 16 * 1024
+# Interval of checks whether a caller has closed behind input that is left unread.
+END_CHECK_INTERVAL_S = 0.05
 # Discarded input that is kept to find requests in it.
 KEPT_BYTES = 8 * 1024
 # Requests that are reported for each closed connection.
@@ -69,12 +74,14 @@
     """Input that arrived after the last request that was handled.
 
     :param beginning: the first ``KEPT_BYTES`` of it.
-    :param first_after_s: time from the close until the first part was read.
+    :param first_after_s: time from the close until the first part was noticed.
+    :param is_read: whether it was read; a caller may send requests again that were not.
     """
 
     size_bytes: int = 0
     beginning: bytes = b""
     first_after_s: float = 0.0
+    is_read: bool = True
 
     def add(self, data: bytes, after_s: float) -> None:
         """Count a part, and keep what belongs to the beginning."""
@@ -151,6 +158,44 @@
             gevent.sleep(0)
 
 
+def await_end(connection: Any, ended_s: float) -> bool:
+    """Wait until the caller of an idle connection closes, for at most ``LINGER_S``.
+
+    Input is left unread: a request that is sent before its caller sees the end has not been read,
+    so the caller may send it again.
+
+    :param ended_s: monotonic time since which nothing is sent.
+    :returns: false while a response has not been acknowledged, so that the input has to be
+        discarded: a close with unread input resets the connection and would cut the response.
+    """
+    with contextlib.suppress(OSError):
+        wait_read(connection.fileno(), timeout=max(0.0, ended_s + LINGER_S - _clock.now_s()))
+        while _clock.now_s() < ended_s + LINGER_S and not _has_closed(connection):
+            gevent.sleep(END_CHECK_INTERVAL_S)
+    return not unacknowledged_bytes(connection)
+
+
+def count_unread(connection: Any, discarded: DiscardedInput, ended_s: float) -> None:
+    """Count the input that is left unread.
+
+    :param ended_s: monotonic time since which nothing is sent.
+    """
+    with contextlib.suppress(OSError):
+        connection.settimeout(0.0)
+        if data := connection.recv(KEPT_BYTES, socket.MSG_PEEK):
+            discarded.is_read = False
+            discarded.add(data, _clock.now_s() - ended_s)
+
+
+def _has_closed(connection: Any) -> bool:
+    """Return whether the caller has closed, also behind unread input."""
+    if peek_input(connection) == b"":
+        return True
+    poll = select.poll()
+    poll.register(connection.fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 def _stop_reading(connection: Any) -> None:
     with contextlib.suppress(OSError):
         connection.shutdown(socket.SHUT_RD)
--- a/packages/daemon/src/tanagerreachd/_sockets.py
+++ b/packages/daemon/src/tanagerreachd/_sockets.py
@@ -1,6 +1,9 @@
 """Operations on gevent sockets that gevent lacks or does slowly."""
 
+import fcntl
 import socket
+import struct
+import termios
 from typing import Any
 
 
@@ -28,3 +31,12 @@
         return None
     except (OSError, AttributeError):
         return b""
+
+
+def unacknowledged_bytes(connection: Any) -> int:
+    """Return how many sent bytes the other side has not acknowledged; 0 when that is not known."""
+    try:
+        answer = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, bytes(4))
+    except (OSError, ValueError):
+        return 0
+    return struct.unpack("i", answer)[0]
--- a/packages/daemon/src/tanagerreachd/gateway/_pipelined_requests.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_pipelined_requests.py
@@ -145,6 +145,12 @@
         if not (self._pipeline.in_flight or self.is_active):
             super().mark_idle()
 
+    def idle_left_s(self) -> float:
+        """Return how long the connection may still wait; it is not idle with requests in flight."""
+        if self._pipeline.in_flight:
+            return self.server.limits.idle_time_s
+        return super().idle_left_s()
+
     def end_connection(self) -> None:
         """Send nothing more, and handle no further request."""
         self._pipeline.is_closing = True
--- a/packages/daemon/src/tanagerreachd/gateway/_request_log.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_request_log.py
@@ -147,6 +147,7 @@
                     request_id=request.request_id,
                     cause=cause,
                     is_whole=request.is_whole,
+                    is_read=closed.discarded.is_read,
                     discarded_bytes=closed.discarded.size_bytes,
                     after_close_ms=int(1000 * closed.discarded.first_after_s),
                 )
