Tell only the instances concerned that they were heard again lately

What callers saw: since a fleet of 132 instances refuses 15 to 40% of the requests with 429 in calm.

Cause: each state, which goes to the whole fleet, named up to 16 instances that its sender had heard again lately, which is all of them after a start. Speakers' links fill, states are lost, so that peers count as silent and then as returned: the states stay large and the homes issue a part of the rate.

Evidence: test_fleet_refuses_its_usual_load_after_a_start plays 132 instances with encoded sizes on links of 10 Mbit/s (queues of 0.1 s).

Only the named instance uses a name. It gets a ReturnNotice now, twice, at most 16 each 0.15 s; an instance that has heard nearly all others again says that in one field of its state (is_returned). Instances that start together send neither. None makes news urgent.

Messages: PeerState keeps the field returned_names, empty in this build and still heeded; is_returned comes after the last field. Earlier builds ignore ReturnNotice as malformed: during a roll-out they count its sender up to 2.5 s too early.

--- a/packages/core/src/tanagerreach_core/_fleet_news.py
+++ b/packages/core/src/tanagerreach_core/_fleet_news.py
@@ -18,7 +18,14 @@
 
 from ._message_parts import divide
 from ._peer_table import Peer, PeerChange, PeerTable
-from ._placement_messages import AGE_UNKNOWN_MS, Heartbeat, NewsKind, PeerNews, PeerState
+from ._placement_messages import (
+    AGE_UNKNOWN_MS,
+    Heartbeat,
+    NewsKind,
+    PeerNews,
+    PeerState,
+    ReturnNotice,
+)
 
 # The group of a data centre with more instances is divided.
 GROUP_SIZE_MAX = 32
@@ -38,7 +45,7 @@
 
 _GroupKey = tuple[str, int]
 _Named = tuple[str, PeerState]
-Addressed = tuple[str, PeerNews]
+Addressed = tuple[str, PeerNews | ReturnNotice]
 """Address of a peer, and the message for it."""
 NewState = tuple[PeerState, PeerChange, float]
 """A state, what it changes, and its age in seconds."""
@@ -68,6 +75,7 @@
             started_ms=state.started_ms,
             returned_names=state.returned_names,
             is_new=state.is_new,
+            is_returned=state.is_returned,
         )
 
 
@@ -289,8 +297,11 @@
     # Sending
 
     def due_messages(self, now_s: float) -> list[Addressed]:
-        """Return the states to pass on now; to be called each ``TICK_S``."""
-        messages = self._messages_within_group(now_s)
+        """Return the states to pass on now, and notices; to be called each ``TICK_S``."""
+        messages: list[Addressed] = [
+            *self._peer_table.due_return_notices(now_s),
+            *self._messages_within_group(now_s),
+        ]
         number = self._speaker_number(now_s)
         is_due = self._is_urgent or now_s - self._sent_s >= GROUP_NEWS_INTERVAL_S - TICK_S / 2
         if number is None or not is_due:
--- a/packages/core/src/tanagerreach_core/_messages.py
+++ b/packages/core/src/tanagerreach_core/_messages.py
@@ -22,6 +22,7 @@
     QuotaRequest,
     QuotaReturn,
     RefusalNotice,
+    ReturnNotice,
 )
 from ._rollout_messages import RolloutProgress, RoutedPlacementRequest
 from ._slots import SlotSet
@@ -277,6 +278,7 @@
     | QuotaReply
     | QuotaReturn
     | QuotaHandover
+    | ReturnNotice
     | CompletionAck
     | Heartbeat
     | PeerNews
--- a/packages/core/src/tanagerreach_core/_peer_table.py
+++ b/packages/core/src/tanagerreach_core/_peer_table.py
@@ -12,7 +12,7 @@
 
 import xxhash
 
-from ._placement_messages import PeerState
+from ._placement_messages import PeerState, ReturnNotice
 
 # A peer is live until it was silent for this many heartbeat intervals, which allows for two lost
 # heartbeats and some delay.
@@ -40,8 +40,13 @@
 SETTLED_S = PROBATION_S + 1.0
 # An instance counts as new for this long after its start, until its peers are settled.
 NEW_S = SETTLED_S + 1.0
-# Instances that were heard again lately, as an instance names them in its messages.
-RETURNED_NAMES_MAX = 16
+# An instance that has heard all peers but this share again lately says so of itself, rather than to
+# each of them.
+SETTLED_SHARE_MIN = 0.125
+# Notices of returns that are sent at a time, so that the return of a data centre does not fill the
+# sender's link; each is sent twice, as datagrams get lost.
+RETURN_NOTICES_MAX = 16
+RETURN_NOTICE_COUNT = 2
 # The others may have missed an instance that sent no state for this many heartbeat intervals.
 PAUSE_INTERVALS = 3.0
 # An instance whose home was not heard for this long issues its own part of a right first, as the
@@ -55,6 +60,7 @@
 # An instance that was silent for this long may return with earlier beats, since its clock may have
 # been set back before a restart.
 RESTART_TIMEOUT_S = 2.0
+MS_PER_S = 1000.0
 # Suspected peers that an instance names in its messages. A request tries three homes.
 SUSPECTED_NAMES_MAX = 8
 
@@ -80,8 +86,12 @@
     """Instances that did not reply to this peer, so that it does not use them as homes."""
     is_new: bool = False
     """Whether its run has begun lately."""
+    is_returned: bool = False
+    """Whether it has heard nearly all others again lately."""
     returned_names: frozenset[str] = frozenset()
-    """Instances that this peer has heard again lately, so that it may not use them as homes."""
+    """Instances that a peer of an earlier build has heard again lately."""
+    returned_until_s: float = float("-inf")
+    """Time until which it may not use this instance as a home, as it has heard it again lately."""
     state: PeerState | None = None
     """The latest state that was heard."""
     news_delay_s: float = 0.0
@@ -109,6 +119,21 @@
 NO_CHANGE = PeerChange()
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class PeerCounts:
+    """Numbers of peers, for metrics and logs.
+
+    :param settled: live peers that were heard for ``SETTLED_S`` without a gap.
+    :param naming_own: live peers that may not use this instance as a home yet, as they have heard
+        it again lately.
+    """
+
+    known: int
+    live: int
+    settled: int
+    naming_own: int
+
+
 class PeerTable:
     """Peers of one instance.
 
@@ -126,6 +151,7 @@
         "_largest_size_at_s",
         "_peers",
         "_preferences",
+        "_return_notices",
         "_suspected",
         "heartbeat_s",
         "knows_members",
@@ -144,6 +170,8 @@
         # All known instances in a rendezvous key's order; ``None`` stands for this one.
         self._preferences: dict[bytes, list[Peer | None]] = {}
         self._suspected: list[Peer] = []
+        # Peers that are to be told that this instance heard them again, and how often.
+        self._return_notices: dict[str, int] = {}
         self._largest_size = 1
         self._largest_size_at_s = float("-inf")
         # Rises with each change of the known peers or their data centres.
@@ -227,9 +255,10 @@
         if state.returned_names or peer.returned_names:
             peer.returned_names = frozenset(state.returned_names)
         peer.is_new = state.is_new
+        peer.is_returned = state.is_returned
         is_notable = known is None or state.differs_from(known)
         if (was_silent or is_new_run) and self.is_live(peer, now_s):
-            peer.live_since_s = now_s
+            self._record_return(peer, now_s)
         if not is_notable and not was_silent:
             return NO_CHANGE
         was_serving = peer.is_serving and not peer.is_leaving
@@ -273,14 +302,54 @@
         self._suspected = [peer for peer in self._suspected if now_s < peer.suspected_until_s]
         return [peer.name for peer in self._suspected[-SUSPECTED_NAMES_MAX:]]
 
-    def returned_names(self, now_s: float) -> list[str]:
-        """Return the names of the peers that were heard again lately."""
-        returned = [
-            peer.name
-            for peer in self._peers.values()
-            if not _is_settled(peer, now_s) and self.is_live(peer, now_s)
-        ]
-        return returned[:RETURNED_NAMES_MAX]
+    def _record_return(self, peer: Peer, now_s: float) -> None:
+        peer.live_since_s = now_s
+        # Instances that start together count each other at once, so that no notice is needed.
+        if not (peer.is_new and self.own_is_new(now_s)):
+            self._return_notices[peer.name] = RETURN_NOTICE_COUNT
+
+    def own_is_returned(self, now_s: float) -> bool:
+        """Return whether nearly all live peers were heard again lately, as after a pause."""
+        if self.starts_with_fleet(now_s):
+            return False
+        counts = self.counts(now_s)
+        return counts.settled < SETTLED_SHARE_MIN * counts.live
+
+    def due_return_notices(self, now_s: float) -> list[tuple[str, ReturnNotice]]:
+        """Return some notices for peers that were heard again lately, with their addresses."""
+        if not self._return_notices:
+            return []
+        if self.own_is_returned(now_s):
+            # The state tells it to all.
+            return []
+        notices = []
+        for name in list(itertools.islice(self._return_notices, RETURN_NOTICES_MAX)):
+            count = self._return_notices.pop(name)
+            peer = self._peers.get(name)
+            if peer is None or _is_settled(peer, now_s):
+                continue
+            left_ms = int(MS_PER_S * (peer.live_since_s + SETTLED_S - now_s))
+            notices.append((peer.address, ReturnNotice(left_ms=left_ms)))
+            if count > 1:
+                self._return_notices[name] = count - 1
+        return notices
+
+    def record_return_notice(self, sender: str, notice: ReturnNotice, now_s: float) -> None:
+        """Record that a peer has heard this instance again lately."""
+        peer = self._peers.get(sender)
+        if peer is not None:
+            left_s = min(SETTLED_S, notice.left_ms / MS_PER_S)
+            peer.returned_until_s = max(peer.returned_until_s, now_s + left_s)
+
+    def counts(self, now_s: float) -> PeerCounts:
+        """Return how many peers are in which state."""
+        live = [peer for peer in self._peers.values() if self.is_live(peer, now_s)]
+        return PeerCounts(
+            known=len(self._peers),
+            live=len(live),
+            settled=sum(_is_settled(peer, now_s) for peer in live),
+            naming_own=sum(self._may_not_use_own(peer, now_s) for peer in live),
+        )
 
     @property
     def pause_limit_s(self) -> float:
@@ -290,7 +359,7 @@
     def record_own_pause(self, now_s: float) -> None:
         """Treat all peers as heard again, as they may have used other homes meanwhile."""
         for peer in self._peers.values():
-            peer.live_since_s = now_s
+            self._record_return(peer, now_s)
 
     def record_suspected(self, name: str, suspected_names: Iterable[str]) -> None:
         """Record which instances a peer suspects, by its latest message."""
@@ -501,7 +570,15 @@
         """
         if peer.is_new and self.own_is_new(now_s):
             return True
-        return _is_settled(peer, now_s) and self._own_name not in peer.returned_names
+        return _is_settled(peer, now_s) and not self._may_not_use_own(peer, now_s)
+
+    def _may_not_use_own(self, peer: Peer, now_s: float) -> bool:
+        """Return whether a peer has heard this instance again too lately to use it as a home."""
+        return (
+            peer.is_returned
+            or now_s < peer.returned_until_s
+            or self._own_name in peer.returned_names
+        )
 
     def size(self) -> int:
         """Return the number of known instances, this one included."""
--- a/packages/core/src/tanagerreach_core/_placement_messages.py
+++ b/packages/core/src/tanagerreach_core/_placement_messages.py
@@ -215,8 +215,10 @@
     ``suspected_names`` are instances that did not reply to it. ``crash_reports`` are its latest
     observations of requests that may crash targets. ``started_ms`` is the start of its run, by
     which the runs of an instance are told apart. ``returned_names`` are instances that it has heard
-    again lately, so that it may not use them as homes yet. ``is_new`` states that its run has begun
-    lately, so that no home counts it from before.
+    again lately, as earlier builds tell all others of them; this one sends :class:`ReturnNotice`
+    instead, since a state goes to the whole fleet. ``is_new`` states that its run has begun
+    lately, so that no home counts it from before. ``is_returned`` states that it has heard nearly
+    all others again lately, as after a pause, so that it may use none of them as its home.
     """
 
     name: str
@@ -232,6 +234,7 @@
     started_ms: int = 0
     returned_names: list[str] = msgspec.field(default_factory=list)
     is_new: bool = False
+    is_returned: bool = False
 
     def differs_from(self, other: "PeerState") -> bool:
         """Return whether this state says more of its instance than that it is live."""
@@ -241,7 +244,6 @@
             or self.store_reachable != other.store_reachable
             or self.configuration_version != other.configuration_version
             or sorted(self.suspected_names) != sorted(other.suspected_names)
-            or sorted(self.returned_names) != sorted(other.returned_names)
         )
 
 
@@ -256,6 +258,18 @@
     wants_news: bool = False
 
 
+class ReturnNotice(msgspec.Struct, kw_only=True, array_like=True, tag=33):
+    """Tells an instance that the sender has heard it again lately.
+
+    The sender may not use it as a home yet, so that it must not count the sender. It is sent twice
+    and not acknowledged.
+
+    :param left_ms: time for which the receiver does not count the sender.
+    """
+
+    left_ms: int
+
+
 class NewsKind(IntEnum):
     """What a receiver of :class:`PeerNews` does with it."""
 
--- a/packages/core/src/tanagerreach_core/messages.py
+++ b/packages/core/src/tanagerreach_core/messages.py
@@ -42,6 +42,7 @@
     QuotaReturn,
     RefusalCause,
     RefusalNotice,
+    ReturnNotice,
 )
 from ._rollout_messages import RolloutProgress, RoutedPlacementRequest
 from ._slots import SlotSet
@@ -77,6 +78,7 @@
     "QuotaReturn",
     "RefusalCause",
     "RefusalNotice",
+    "ReturnNotice",
     "ServiceReply",
     "ServiceReport",
     "RolloutProgress",
--- a/packages/core/tests/home_replay.py
+++ b/packages/core/tests/home_replay.py
@@ -4,7 +4,7 @@
 from abc import ABC, abstractmethod
 from random import Random
 
-from tanagerreach_core.messages import Heartbeat, NewsKind, PeerNews, PeerState
+from tanagerreach_core.messages import Heartbeat, NewsKind, PeerNews, PeerState, ReturnNotice
 from tanagerreach_core.placement import TICK_S, FleetNews, PeerTable
 
 INSTANCE_COUNT = 136
@@ -45,7 +45,7 @@
             is_serving=True,
             suspected_names=self.table.suspected_names(now_s),
             started_ms=self.started_ms,
-            returned_names=self.table.returned_names(now_s),
+            is_returned=self.table.own_is_returned(now_s),
             is_new=self.table.own_is_new(now_s),
         )
 
@@ -63,6 +63,9 @@
         if isinstance(message, Heartbeat):
             self.news.record_heartbeat(message, now_s)
             return []
+        if isinstance(message, ReturnNotice):
+            self.table.record_return_notice(sender, message, now_s)
+            return []
         return self.news.record_news(sender, message, now_s)[1]
 
     def learn_suspected(self, sender, now_s):
@@ -78,7 +81,7 @@
     def __init__(self, seed, instance_count, make_instance):
         self.random = Random(seed)
         self.make_instance = make_instance
-        self.names = [f"i{number}" for number in range(instance_count)]
+        self.names = [self.name_of(number) for number in range(instance_count)]
         self.instances = {name: make_instance(name, -10.0) for name in self.names}
         self.down = set()
         self.sent_count = 0
@@ -96,6 +99,10 @@
             for peer in instance.table.peers:
                 peer.live_since_s = -10.0
 
+    def name_of(self, number):
+        """Return the name of an instance."""
+        return f"i{number}"
+
     def is_lost(self, sender, receiver):
         """Return whether a message between two instances is lost."""
         return sender in self.down or receiver in self.down or self.is_cut(sender, receiver)
--- a/packages/daemon/src/tanagerreachd/gateway/_instance.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_instance.py
@@ -24,6 +24,7 @@
     QuotaRequest,
     QuotaReturn,
     RefusalNotice,
+    ReturnNotice,
     RolloutProgress,
     RoutedPlacementRequest,
 )
@@ -447,7 +448,7 @@
             suspected_names=self._peer_table.suspected_names(now_s),
             crash_reports=self._crashes.reports(now_s),
             started_ms=self._started_ms,
-            returned_names=self._peer_table.returned_names(now_s),
+            is_returned=self._peer_table.own_is_returned(now_s),
             is_new=self._peer_table.own_is_new(now_s),
         )
 
@@ -464,6 +465,9 @@
         self._message_handlers: dict[type, Callable[[str, str, Any], None]] = {
             Heartbeat: lambda _, address, message: self._membership.on_heartbeat(address, message),
             PeerNews: self._membership.on_news,
+            ReturnNotice: lambda name, _, message: self._peer_table.record_return_notice(
+                name, message, _clock.now_s()
+            ),
             PlacementRequest: lambda name, address, message: homes.place(
                 name, message, lambda reply: send(address, reply)
             ),
