Count the peers that are live, settled and returned in a metric

A fleet whose homes issue a part of the rate, as messages of members are lost, looked like one with too low a limit. The gauge tanagerreach_peers has the peers that are known, live and settled, and those that may not use this instance as a home yet, as they have heard it again lately. It is read when the metrics are rendered.

--- a/packages/daemon/src/tanagerreachd/gateway/_instance.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_instance.py
@@ -136,6 +136,12 @@
             own_name=settings.instance_name, heartbeat_s=HEARTBEAT_S, now_s=self._started_s
         )
         self._peer_table.own_is_home = False
+        self._metrics.gauges(
+            "tanagerreach_peers",
+            "Peers by what this instance knows of them",
+            ("state",),
+            self._peer_counts,
+        )
         self._traffic = TrafficCounts(
             own_data_centre=settings.data_centre,
             peer_data_centre=self._peer_table.data_centre_of,
@@ -408,6 +414,15 @@
     def _peer_address(self, host: str) -> str:
         return f"{host}:{self._settings.peer_udp_port}"
 
+    def _peer_counts(self) -> dict[tuple[str, ...], float]:
+        counts = self._peer_table.counts(_clock.now_s())
+        return {
+            ("known",): counts.known,
+            ("live",): counts.live,
+            ("settled",): counts.settled,
+            ("naming_own",): counts.naming_own,
+        }
+
     def _state_addresses(self) -> list[str]:
         now_s = _clock.now_s()
         peers = [peer for peer in self._peer_table.peers if self._peer_table.is_live(peer, now_s)]
