Refuse requests that still wait when the time of a stop ends

Callers of a stopping instance saw their connection end without an answer to a request that no target had: it had been read up to 3 s after SIGTERM and waited for quota or a placement until the process ended, 0.7 s before SIGKILL. They cannot know that it did not run, and may not repeat an unsafe one.

Cause: finish_requests gave all requests up at that time in the same way, whether a target had them or not, and nothing ends a wait for quota or a placement when an instance stops. Only a placement that is granted is checked against the time left.

At that time, a refusal is raised now in the greenlets that wait there: 503, `stopping`, or 502 if an earlier try may have run. It goes the way of other refusals, so that the queued placement is withdrawn and the unit of quota returned. It is raised by the hub, in one turn with the look whether the request still waits: one that is granted first goes on, and is checked against the time left; a grant that arrives behind the refusal is released. Requests that would begin to wait later are refused at once. The process waits up to 0.2 s more for the responses, if requests are not finished at that time.

The tests play Gateway._stop with the real application, placement client and server, and a stop of 1 s. Before, those that wait for a placement, for quota and for the placement of a retry received nothing (b'' instead of a 503 or 502); the others guard the promise. With a raise that is scheduled in each greenlet instead, test_request_is_refused_when_it_has_been_sent fails.

--- a/packages/daemon/src/tanagerreachd/_http_server.py
+++ b/packages/daemon/src/tanagerreachd/_http_server.py
@@ -54,6 +54,8 @@
 READ_CHUNK_BYTES = 16 * 1024
 MAX_JOINED_PART_BYTES = 16 * 1024
 STOP_POLL_S = 0.02
+# Time for the last responses after the end of a stop. The gateway is killed 0.7 s after it.
+LAST_RESPONSES_S = 0.2
 # A connection lets others run after it has read this many chunks, or this much of a body.
 CHUNKS_PER_TURN = 64
 BYTES_PER_TURN = 256 * 1024
@@ -662,23 +664,35 @@
         for handler in list(self.idle_handlers):
             handler.close_idle()
 
-    def finish_requests(self, ends_s: float) -> int:
+    def finish_requests(self, ends_s: float, end_requests: Callable[[], None] | None = None) -> int:
         """During a drain, wait until all requests are finished and their callers have closed.
 
         Callers get at most ``LINGER_S`` to close, since the end of the process would reset a
         connection on which a further request arrives.
 
         :param ends_s: monotonic time at which the wait ends in any case.
+        :param end_requests: called at that time if requests are not finished, to have responses of
+            this instance for some of them; the wait then goes on for ``LAST_RESPONSES_S``.
         :returns: the number of requests that are not finished by then.
         """
-        while True:
-            self.close_idle_connections()
-            gevent.sleep(STOP_POLL_S)
-            # A handler that is still idle has input to read.
-            if not (self.active_count or self.idle_handlers) or _clock.now_s() >= ends_s:
-                break
+        if not self._wait_for_requests(ends_s) and end_requests is not None:
+            end_requests()
+            # A process that was frozen continues later than planned.
+            ends_s = _clock.now_s() + LAST_RESPONSES_S
+            self._wait_for_requests(ends_s)
         unfinished_count = self.active_count
         ends_s = min(ends_s, _clock.now_s() + LINGER_S)
         while self.ending_connections and _clock.now_s() < ends_s:
             gevent.sleep(STOP_POLL_S)
         return unfinished_count
+
+    def _wait_for_requests(self, ends_s: float) -> bool:
+        """Wait until all requests are finished, or until a time; return whether they are."""
+        while True:
+            self.close_idle_connections()
+            gevent.sleep(STOP_POLL_S)
+            # A handler that is still idle has input to read.
+            if not (self.active_count or self.idle_handlers):
+                return True
+            if _clock.now_s() >= ends_s:
+                return False
--- a/packages/daemon/src/tanagerreachd/gateway/_application.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_application.py
@@ -47,6 +47,7 @@
 from ._request_refusals import body_broke_off, may_have_run, stopping, tries_failed, unavailable
 from ._retry_budgets import RetryBudgets
 from ._sources import CallerLimits
+from ._stop_refusals import StopRefusals
 from ._traffic import TrafficCounts, message_bytes
 
 # Bodies up to this size are read before the placement request, so that no target slot is held
@@ -111,6 +112,7 @@
         self._notices = TargetNotices()
         self._accepts_until_s = float("inf")
         self._sends_until_s = float("inf")
+        self._stop_refusals = StopRefusals()
         self._request_id_environ_key = environ_key(dialect.request_id)
         self._deadline_environ_key = environ_key(dialect.deadline_ms)
         self._key_environ_key = environ_key(dialect.key)
@@ -124,6 +126,10 @@
         self._accepts_until_s = accepts_until_s
         self._sends_until_s = ends_s
 
+    def end_requests(self) -> None:
+        """Refuse the requests that wait for quota or a placement, as this instance ends."""
+        self._stop_refusals.refuse()
+
     def __call__(self, environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
         """Handle one request."""
         arrived_s = _clock.now_s()
@@ -309,7 +315,8 @@
     def _take_quota(self, request: GatewayRequest) -> None:
         if request.workspace is None:
             return
-        unit = self._placement_client.take_quota(request.workspace_name)
+        with self._stop_refusals.refusable(partial(_refused_by_stop, request)):
+            unit = self._placement_client.take_quota(request.workspace_name)
         reply = unit.reply
         if reply.is_granted:
             request.quota_unit = unit
@@ -390,7 +397,10 @@
         :raises RefusalError: when there is none.
         """
         while True:
-            placement = self._placement_client.acquire(partial(self._placement_request, request))
+            with self._stop_refusals.refusable(partial(_refused_by_stop, request)):
+                placement = self._placement_client.acquire(
+                    partial(self._placement_request, request)
+                )
             self._log.placement_decided(request.service_name, placement)
             if not placement.is_granted:
                 raise self._placement_refused(request, placement)
@@ -437,13 +447,11 @@
         service = request.service_name
         self._recheck(request)
         now_s = _clock.now_s()
-        refusal = None
         if request.service_name != service or now_s >= request.response_deadline_s:
             refusal = unavailable(RefusalCause.NO_TARGET, 0.2)
-        elif now_s + placement.reply.try_timeout_ms / 1000.0 > self._sends_until_s:
-            refusal = stopping()
-        if refusal is not None:
             raise tries_failed(request, None) if request.may_have_run else refusal
+        if now_s + placement.reply.try_timeout_ms / 1000.0 > self._sends_until_s:
+            raise _refused_by_stop(request)
 
     def _try_target(self, request: GatewayRequest, placement: Placement) -> UpstreamResponse | None:
         """Send the request to one target.
@@ -676,6 +684,11 @@
         return [] if environ["REQUEST_METHOD"] == "HEAD" else [body]
 
 
+def _refused_by_stop(request: GatewayRequest) -> RefusalError:
+    """Build the refusal of a request that no target has, and that none gets any more."""
+    return tries_failed(request, None) if request.may_have_run else stopping()
+
+
 def _body(body: CallerBody) -> bytes | Iterable[bytes] | None:
     if body.buffered is not None:
         return body.buffered or None
--- a/packages/daemon/src/tanagerreachd/gateway/_instance.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_instance.py
@@ -91,6 +91,7 @@
 # The load balancer checks each second and removes an instance after two failed checks.
 DRAIN_NOTICE_S = 3.0
 ACCEPT_PAUSE_S = 0.05
+# Time for the last responses and the end of the process.
 STOP_MARGIN_S = 0.7
 SWEEP_INTERVAL_S = 2.0
 LOAD_REPORT_INTERVAL_S = 1.0
@@ -400,7 +401,7 @@
         # After a pause of the process, connections may wait to be accepted; closing resets them.
         gevent.sleep(ACCEPT_PAUSE_S)
         run_step(self._callers.close_listener, self._log.failure)
-        unfinished_count = self._callers.finish_requests(ends_s)
+        unfinished_count = self._callers.finish_requests(ends_s, self._application.end_requests)
         self._log.info("instance stopped", unfinished_count=unfinished_count)
         self._loops.stop()
         self._link.stop()
