Answer requests at targets that hold ready responses back at the end of a stop

Callers that send further requests before a response lost responses of targets that had ended well: a slow request before them on their connection was still at its target when the instance ended, and responses go out in order.

At the end of a stop, a request at a target is answered with 502, `upstream-stopping`, if a response behind it on its connection is ready. The connection would be cut at that moment anyway. Requests at targets without a ready response behind them are not broken off.

A slow response that has begun can't be replaced; what waits behind it is still lost.

Both new tests failed before: the caller received nothing ([] instead of two 502 and a 200, and of a 502 and a 503).

--- a/packages/daemon/src/tanagerreachd/_http_server.py
+++ b/packages/daemon/src/tanagerreachd/_http_server.py
@@ -671,24 +671,30 @@
         connection on which a further request arrives.
 
         :param ends_s: monotonic time at which the wait ends in any case.
-        :param end_requests: called at that time if requests are not finished, to have responses of
-            this instance for some of them; the wait then goes on for ``LAST_RESPONSES_S``.
+        :param end_requests: called repeatedly from that time on if requests are not finished, to
+            have responses of this instance for some of them; the wait then goes on for
+            ``LAST_RESPONSES_S``.
         :returns: the number of requests that are not finished by then.
         """
         if not self._wait_for_requests(ends_s) and end_requests is not None:
-            end_requests()
             # A process that was frozen continues later than planned.
             ends_s = _clock.now_s() + LAST_RESPONSES_S
-            self._wait_for_requests(ends_s)
+            self._wait_for_requests(ends_s, end_requests)
         unfinished_count = self.active_count
         ends_s = min(ends_s, _clock.now_s() + LINGER_S)
         while self.ending_connections and _clock.now_s() < ends_s:
             gevent.sleep(STOP_POLL_S)
         return unfinished_count
 
-    def _wait_for_requests(self, ends_s: float) -> bool:
-        """Wait until all requests are finished, or until a time; return whether they are."""
+    def _wait_for_requests(
+        self, ends_s: float, end_requests: Callable[[], None] = lambda: None
+    ) -> bool:
+        """Wait until all requests are finished, or until a time; return whether they are.
+
+        :param end_requests: called repeatedly.
+        """
         while True:
+            end_requests()
             self.close_idle_connections()
             gevent.sleep(STOP_POLL_S)
             # A handler that is still idle has input to read.
--- a/packages/daemon/src/tanagerreachd/gateway/_application.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_application.py
@@ -44,7 +44,14 @@
 from ._placement_client import Placement, PlacementClient
 from ._request import GatewayRequest, caller_wait_s
 from ._request_log import RequestLog, placement_inputs
-from ._request_refusals import body_broke_off, may_have_run, stopping, tries_failed, unavailable
+from ._request_refusals import (
+    body_broke_off,
+    cut_by_stop,
+    may_have_run,
+    stopping,
+    tries_failed,
+    unavailable,
+)
 from ._retry_budgets import RetryBudgets
 from ._sources import CallerLimits
 from ._stop_refusals import StopRefusals
@@ -127,7 +134,11 @@
         self._sends_until_s = ends_s
 
     def end_requests(self) -> None:
-        """Refuse the requests that wait for quota or a placement, as this instance ends."""
+        """Refuse the requests that wait for quota or a placement, as this instance ends.
+
+        A request at a target is refused if a response behind it on its connection is ready, which
+        would be lost otherwise. Repeated calls refuse those for which this has become so.
+        """
         self._stop_refusals.refuse()
 
     def __call__(self, environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
@@ -467,7 +478,11 @@
         notice: TargetNotice | None = None
         search = self._late_try_search(request, placement)
         try:
-            response = self._send(request, placement, started_s, search)
+            handler = request.environ["tanagerreach.handler"]
+            with self._stop_refusals.refusable(
+                cut_by_stop, is_due=lambda: handler.delays_ready_response
+            ):
+                response = self._send(request, placement, started_s, search)
             notice = response.notice
             outcome = Outcome.ERROR if response.status >= 500 else Outcome.SUCCESS
         except UpstreamError as error:
--- a/packages/daemon/src/tanagerreachd/gateway/_pipelined_requests.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_pipelined_requests.py
@@ -127,6 +127,8 @@
     was_read = False
     has_timed_out = False
     is_sent = False
+    # Whether the response, or its first part, waits for the earlier responses or has been sent.
+    is_ready = False
     _is_cut_short = False
 
     @property
@@ -135,6 +137,15 @@
         environ = self.environ or {}
         return environ.get("tanagerreach.request_id", "")
 
+    @property
+    def delays_ready_response(self) -> bool:
+        """Whether a response behind this one on the connection is ready."""
+        later = iter(self._pipeline.in_flight)
+        for request in later:
+            if request is self:
+                break
+        return any(request.is_ready for request in later)
+
     def wait_done(self) -> None:
         """Wait until the response is sent or abandoned."""
         self._done.wait()
@@ -282,6 +293,7 @@
         self._done.set()
 
     def _wait_for_turn(self) -> None:
+        self.is_ready = True
         previous = self._previous
         if previous is not None:
             previous.wait_done()
--- a/packages/daemon/src/tanagerreachd/gateway/_request_refusals.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_request_refusals.py
@@ -44,6 +44,16 @@
     )
 
 
+def cut_by_stop() -> RefusalError:
+    """Build the refusal of a request at a target whose response this instance cannot await."""
+    return RefusalError(
+        status=HTTPStatus.BAD_GATEWAY,
+        kind="upstream-stopping",
+        detail="this instance stops while a target works on the request",
+        executed=Executed.UNKNOWN,
+    )
+
+
 def body_broke_off(error: CallerBodyError) -> RefusalError:
     """Build the refusal of a request whose body ended early while a target received it."""
     return RefusalError(
--- a/packages/daemon/src/tanagerreachd/gateway/_stop_refusals.py
+++ b/packages/daemon/src/tanagerreachd/gateway/_stop_refusals.py
@@ -14,10 +14,11 @@
 class _RefusableRequest:
     greenlet: gevent.Greenlet
     refusal: Callable[[], RefusalError]
+    is_due: Callable[[], bool]
 
 
 class StopRefusals:
-    """Raises a refusal in each greenlet whose request still waits at the end of a stop."""
+    """Raises a refusal in each greenlet whose request may be refused at the end of a stop."""
 
     __slots__ = ("_has_ended", "_requests")
 
@@ -26,15 +27,18 @@
         self._requests: dict[_RefusableRequest, None] = {}
 
     @contextlib.contextmanager
-    def refusable(self, refusal: Callable[[], RefusalError]) -> Iterator[None]:
+    def refusable(
+        self, refusal: Callable[[], RefusalError], *, is_due: Callable[[], bool] = lambda: True
+    ) -> Iterator[None]:
         """Let the current greenlet's request be refused while the context lasts.
 
         :param refusal: builds the refusal.
+        :param is_due: whether the request is to be refused.
         :raises RefusalError: at any switch of greenlets; at once after the end of the stop.
         """
-        if self._has_ended:
+        if self._has_ended and is_due():
             raise refusal()
-        request = _RefusableRequest(greenlet=gevent.getcurrent(), refusal=refusal)
+        request = _RefusableRequest(greenlet=gevent.getcurrent(), refusal=refusal, is_due=is_due)
         self._requests[request] = None
         try:
             yield
@@ -42,7 +46,7 @@
             self._requests.pop(request, None)
 
     def refuse(self) -> None:
-        """Refuse all requests that may be refused, and each that would become so later."""
+        """Refuse all requests for which it is due, and each that would begin to wait later."""
         self._has_ended = True
         # Only the hub may raise in other greenlets at once. A raise that is scheduled for each
         # could reach a request that is at a target by then.
@@ -50,6 +54,6 @@
 
     def _refuse_all(self) -> None:
         for request in list(self._requests):
-            if request in self._requests:
+            if request in self._requests and request.is_due():
                 del self._requests[request]
                 request.greenlet.throw(request.refusal())
--- a/packages/daemon/tests/test_end_of_stop.py
+++ b/packages/daemon/tests/test_end_of_stop.py
@@ -290,6 +290,43 @@
         self.wait_for(lambda: received)
         self.assertTrue(received.startswith(b"HTTP/1.1 200 "), received)
 
+    def send_behind(self, *scripts):
+        """Send a request for each script of a target; the last one is queued without a script."""
+        targets = [self.target(*script) for script in scripts if script]
+        self.homes.addresses = [target.address for target in targets]
+        received = self.send(*(f"/{number}" for number in range(len(scripts))))
+        self.wait_for(lambda: all(target.heads for target in targets))
+        self.wait_for(lambda: len(self.homes.waiting) == len(scripts) - len(targets))
+        return received
+
+    @staticmethod
+    def responses(received):
+        """Return the status and the reason of each response; the reason of a target's is empty."""
+        found = []
+        for part in bytes(received).split(b"HTTP/1.1 ")[1:]:
+            body = part.partition(b"\r\n\r\n")[2]
+            kind = "" if body == b"x" else json.loads(body)["type"].rpartition(":")[2]
+            found.append((int(part[:3]), kind))
+        return found
+
+    def test_ready_response_behind_a_slow_one_is_dropped(self):
+        """Guards against responses of targets that are lost with a slow one before them."""
+        slow, ready = [SLOW_S, RESPONSE], [RESPONSE]
+        received = self.send_behind(slow, slow, ready, slow)
+        self.wait_for(lambda: self.homes.completions)
+        self.stop()
+        cut = (502, "upstream-stopping")
+        self.assertEqual(self.responses(received), [cut, cut, (200, "")])
+        # The last request is not broken off, as no response waits for its response.
+        outcomes = [outcome for _target, outcome in self.homes.completions]
+        self.assertEqual(outcomes.count(Outcome.CANCELLED), 2)
+
+    def test_refusal_behind_a_slow_response_is_dropped(self):
+        """Guards against a request that was refused at the end, and whose caller is not told."""
+        received = self.send_behind([SLOW_S, RESPONSE], [])
+        self.stop()
+        self.assertEqual(self.responses(received), [(502, "upstream-stopping"), (503, "stopping")])
+
 
 if __name__ == "__main__":
     unittest.main()
