Test a response that is read late before a request left unread

A close with unread input resets its connection. With the check of unacknowledged bytes taken out, the test fails with ConnectionResetError (trial).

--- a/packages/daemon/tests/test_connection_end.py
+++ b/packages/daemon/tests/test_connection_end.py
@@ -278,6 +278,17 @@
                     connection.sendall(get("/late"))
                 self.assert_whole(self.read_to_end(connection))
 
+    def test_response_that_is_read_after_the_linger_time_is_cut(self):
+        """Guards against a reset by a request left unread, before its caller has the response."""
+        connection = self.connect()
+        connection.sendall(get("/large"))
+        gevent.sleep(ARRIVAL_S)
+        self.wait_until(lambda: self.server.idle_handlers, 1.0)
+        self.begin_stop()
+        connection.sendall(get("/late"))
+        gevent.sleep(LINGER_S + READ_DELAY_S)
+        self.assert_whole(self.read_to_end(connection))
+
     def test_idle_connection_stays_open(self):
         """Guards against callers that do nothing and hold a connection of a stopping instance."""
         connections = [self.connect(), self.kept_connection()]
