Leave input unread only behind a response that has arrived

The waiting of each request took two system calls more.

Whether the input is left unread is decided before the end is sent now, so that the FIN does not count as unacknowledged; otherwise the input is discarded from the start as before, on a short end without waiting. Where the kernel does not tell, a response counts as arrived after LINGER_S. The wait uses the socket's own watcher.

New tests: a late reader with few and with many connections at their end, and across the end of the process, the end of a caller behind unread input, and what is reported of it.

--- a/packages/daemon/src/tanagerreachd/_caller_connections.py
+++ b/packages/daemon/src/tanagerreachd/_caller_connections.py
@@ -35,7 +35,7 @@
 
     ``close_cause`` is why it has to close, as far as is known yet; ``ended_s``, the monotonic time
     since which nothing more is sent on it; ``dropped_input``, the beginning of a request that was
-    read after that.
+    read after that; ``leaves_input_unread``, whether what arrives after that is not read.
     """
 
     __slots__ = (
@@ -44,6 +44,7 @@
         "close_cause",
         "dropped_input",
         "ended_s",
+        "leaves_input_unread",
         "socket",
     )
 
@@ -54,6 +55,7 @@
         self.close_cause = CloseCause.CALLER
         self.ended_s = 0.0
         self.dropped_input = b""
+        self.leaves_input_unread = False
 
     @property
     def is_evicted(self) -> bool:
--- a/packages/daemon/src/tanagerreachd/_http_server.py
+++ b/packages/daemon/src/tanagerreachd/_http_server.py
@@ -17,8 +17,8 @@
 from typing import Any
 
 import gevent
+from gevent import socket as gevent_socket
 from gevent.pywsgi import Input, WSGIHandler, WSGIServer, format_date_time
-from gevent.socket import wait_read
 
 from . import _clock
 from ._caller_connections import CallerConnection, CallerConnections, RequestRoom
@@ -41,7 +41,7 @@
     stop_sending,
     stop_with_reset,
 )
-from ._sockets import peek_input, send_all
+from ._sockets import peek_input, send_all, unacknowledged_bytes
 from ._turns import Turns
 from ._upstream_errors import IncompleteResponseError
 
@@ -65,8 +65,6 @@
 MAX_ACCEPTED_AT_ONCE = 16
 # Connections in excess are closed at the end of their responses without waiting for their callers.
 MAX_LINGERING = 64
-# Connections that are closed for these causes wait for a request.
-IDLE_CAUSES = (CloseCause.STOP, CloseCause.IDLE_TIMEOUT)
 # Bounds what the kernel holds of input that is not read yet.
 RECEIVE_BUFFER_BYTES = 64 * 1024
 NO_ROOM_RETRY_AFTER_S = 1.0
@@ -256,10 +254,12 @@
         cause = connection.close_cause
         if connection.is_evicted:
             cause = CloseCause.NO_ROOM
-        elif cause in IDLE_CAUSES and (is_short or await_end(self.socket, connection.ended_s)):
-            count_unread(self.socket, discarded, connection.ended_s)
-        elif not is_short:
-            discard_input(self.socket, self.rfile, discarded, connection.ended_s)
+        elif connection.leaves_input_unread:
+            after_s = 0.0 if is_short else await_end(self.socket, connection.ended_s)
+            count_unread(self.socket, discarded, after_s)
+        else:
+            linger_s = 0.0 if is_short else LINGER_S
+            discard_input(self.socket, self.rfile, discarded, connection.ended_s, linger_s=linger_s)
         self.server.on_closed(ClosedConnection(cause=cause, discarded=discarded))
 
     def _handle_requests(self) -> None:
@@ -302,9 +302,24 @@
         """End the connection, unless a request has arrived that the handler is about to read."""
         if peek_input(self.socket) is None:
             self.server.idle_handlers.discard(self)
-            self.connection.close_cause = CloseCause.STOP
+            self._mark_ended_idle(CloseCause.STOP)
             self.end_connection()
 
+    def _mark_ended_idle(self, cause: CloseCause) -> None:
+        """Record why the connection is about to end, and whether its input is left unread.
+
+        A request that crosses the end has then not been read, so that its caller may send it again.
+        A close with unread input resets the connection, which would cut a response that has not
+        been acknowledged.
+        """
+        self.connection.close_cause = cause
+        unacknowledged = unacknowledged_bytes(self.socket)
+        if unacknowledged is None:
+            is_delivered = _clock.now_s() - self._idle_since_s >= LINGER_S
+        else:
+            is_delivered = unacknowledged == 0
+        self.connection.leaves_input_unread = is_delivered
+
     def handle_one_request(self) -> Any:
         """Wait for one request and handle it."""
         self.mark_idle()
@@ -395,15 +410,16 @@
     def _wait_for_input(self) -> None:
         while True:
             try:
-                wait_read(self.socket.fileno(), timeout=max(0.0, self.idle_left_s()))
+                # The socket's own watcher takes no system call of its own.
+                gevent_socket.wait(self.socket._read_event, timeout=max(0.0, self.idle_left_s()))
                 return
             except TimeoutError:
+                # The timer of a busy process may expire before its input is noticed.
                 gevent.sleep(0)
                 if self.is_ending or peek_input(self.socket) is not None:
-                    # The timer of a busy process expires before its input is noticed.
                     return
                 if self.idle_left_s() <= 0:
-                    self.connection.close_cause = CloseCause.IDLE_TIMEOUT
+                    self._mark_ended_idle(CloseCause.IDLE_TIMEOUT)
                     raise
 
     def _start_head_timer(self) -> None:
--- a/packages/daemon/src/tanagerreachd/_lingering_close.py
+++ b/packages/daemon/src/tanagerreachd/_lingering_close.py
@@ -1,4 +1,4 @@
-"""Close of a caller's connection without a reset.
+"""Close of a caller's connection, without a reset where that could cut a response.
 
 The kernel resets a connection that is closed while input is unread, or that gets input afterwards.
 A reset discards what was sent and has not arrived, so the end of a response could be lost.
@@ -17,7 +17,7 @@
 from gevent.socket import wait_read
 
 from . import _clock
-from ._sockets import peek_input, unacknowledged_bytes
+from ._sockets import peek_input
 
 # Time for a caller to close after the end of the responses. A caller that has not received the end
 # may send a further request meanwhile.
@@ -138,19 +138,27 @@
     _stop_reading(connection)
 
 
-def discard_input(connection: Any, rfile: Any, discarded: DiscardedInput, ended_s: float) -> None:
+def discard_input(
+    connection: Any,
+    rfile: Any,
+    discarded: DiscardedInput,
+    ended_s: float,
+    *,
+    linger_s: float = LINGER_S,
+) -> None:
     """Discard input until the caller closes or the receiving side is shut down.
 
     :param rfile: buffered reader of the connection, which may hold input.
     :param discarded: counts the input.
     :param ended_s: monotonic time since which nothing is sent.
+    :param linger_s: longest pause in the input; 0 discards only what has arrived.
     """
     with contextlib.suppress(OSError, ValueError):
         # Without a timeout, the reader returns what it holds or what has arrived.
         connection.settimeout(0.0)
         if buffered := rfile.peek(1):
             discarded.add(buffered, _clock.now_s() - ended_s)
-    connection.settimeout(LINGER_S)
+    connection.settimeout(linger_s)
     with contextlib.suppress(OSError):
         while data := connection.recv(READ_CHUNK_BYTES):
             discarded.add(data, _clock.now_s() - ended_s)
@@ -158,33 +166,31 @@
             gevent.sleep(0)
 
 
-def await_end(connection: Any, ended_s: float) -> bool:
-    """Wait until the caller of an idle connection closes, for at most ``LINGER_S``.
-
-    Input is left unread: a request that is sent before its caller sees the end has not been read,
-    so the caller may send it again.
+def await_end(connection: Any, ended_s: float) -> float:
+    """Wait until the caller closes, for at most ``LINGER_S``, and leave its input unread.
 
     :param ended_s: monotonic time since which nothing is sent.
-    :returns: false while a response has not been acknowledged, so that the input has to be
-        discarded: a close with unread input resets the connection and would cut the response.
+    :returns: time from the end until something arrived, or the wait was over.
     """
+    arrived_s = ends_s = ended_s + LINGER_S
     with contextlib.suppress(OSError):
-        wait_read(connection.fileno(), timeout=max(0.0, ended_s + LINGER_S - _clock.now_s()))
-        while _clock.now_s() < ended_s + LINGER_S and not _has_closed(connection):
-            gevent.sleep(END_CHECK_INTERVAL_S)
-    return not unacknowledged_bytes(connection)
+        wait_read(connection.fileno(), timeout=max(0.0, ends_s - _clock.now_s()))
+        arrived_s = _clock.now_s()
+        while (left_s := ends_s - _clock.now_s()) > 0 and not _has_closed(connection):
+            gevent.sleep(min(END_CHECK_INTERVAL_S, left_s))
+    return arrived_s - ended_s
 
 
-def count_unread(connection: Any, discarded: DiscardedInput, ended_s: float) -> None:
+def count_unread(connection: Any, discarded: DiscardedInput, after_s: float) -> None:
     """Count the input that is left unread.
 
-    :param ended_s: monotonic time since which nothing is sent.
+    :param after_s: time from the end until it was noticed.
     """
     with contextlib.suppress(OSError):
         connection.settimeout(0.0)
         if data := connection.recv(KEPT_BYTES, socket.MSG_PEEK):
             discarded.is_read = False
-            discarded.add(data, _clock.now_s() - ended_s)
+            discarded.add(data, after_s)
 
 
 def _has_closed(connection: Any) -> bool:
--- a/packages/daemon/src/tanagerreachd/_sockets.py
+++ b/packages/daemon/src/tanagerreachd/_sockets.py
@@ -33,10 +33,10 @@
         return b""
 
 
-def unacknowledged_bytes(connection: Any) -> int:
-    """Return how many sent bytes the other side has not acknowledged; 0 when that is not known."""
+def unacknowledged_bytes(connection: Any) -> int | None:
+    """Return how many sent bytes the other side has not acknowledged; ``None`` if unknown."""
     try:
         answer = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, bytes(4))
     except (OSError, ValueError):
-        return 0
+        return None
     return struct.unpack("i", answer)[0]
--- a/packages/daemon/tests/test_connection_end.py
+++ b/packages/daemon/tests/test_connection_end.py
@@ -9,11 +9,12 @@
 import time
 import unittest
 from pathlib import Path
+from unittest import mock
 
 import gevent
 from gevent import socket as green_socket
 from gevent.socket import wait_read
-from tanagerreachd import _clock
+from tanagerreachd import _clock, _http_server
 from tanagerreachd._caller_watch import CallerDisconnectedError, CallerWatch
 from tanagerreachd._http_server import CallerHandler, CallerServer, HttpLimits
 from tanagerreachd._lingering_close import LINGER_S
@@ -280,14 +281,18 @@
 
     def test_response_that_is_read_after_the_linger_time_is_cut(self):
         """Guards against a reset by a request left unread, before its caller has the response."""
-        connection = self.connect()
-        connection.sendall(get("/large"))
-        gevent.sleep(ARRIVAL_S)
-        self.wait_until(lambda: self.server.idle_handlers, 1.0)
-        self.begin_stop()
-        connection.sendall(get("/late"))
-        gevent.sleep(LINGER_S + READ_DELAY_S)
-        self.assert_whole(self.read_to_end(connection))
+        for most_lingering in (_http_server.MAX_LINGERING, 0):
+            patched = mock.patch.object(_http_server, "MAX_LINGERING", most_lingering)
+            with self.subTest(most_lingering=most_lingering), patched:
+                self.server.draining = False
+                connection = self.connect()
+                connection.sendall(get("/large"))
+                gevent.sleep(ARRIVAL_S)
+                self.wait_until(lambda: self.server.idle_handlers, 1.0)
+                self.begin_stop()
+                connection.sendall(get("/late"))
+                gevent.sleep(LINGER_S + READ_DELAY_S)
+                self.assert_whole(self.read_to_end(connection))
 
     def test_idle_connection_stays_open(self):
         """Guards against callers that do nothing and hold a connection of a stopping instance."""
@@ -405,6 +410,10 @@
 
     def setUp(self):
         super().setUp()
+        self.start_child()
+        self.addCleanup(self.end_child)
+
+    def start_child(self):
         name = self.handler_class.__name__
         self.child = subprocess.Popen(
             [sys.executable, "-c", f"import {Path(__file__).stem} as t; t.run_child(t.{name})"],
@@ -412,7 +421,6 @@
             stdin=subprocess.PIPE,
             stdout=subprocess.PIPE,
         )
-        self.addCleanup(self.end_child)
         self.address = ("127.0.0.1", int(self.child.stdout.readline()))
 
     def end_child(self):
@@ -438,6 +446,21 @@
         """Guards against a process that ends while a caller reads the newest response."""
         self.assert_whole_after_process_end(get("/large"))
 
+    def test_response_that_is_read_after_the_end_of_the_process_is_cut(self):
+        """Guards against a process that ends with a request unread behind a response."""
+        for delay_s in (0.0, 0.02, 0.04):
+            with self.subTest(delay_s=delay_s):
+                self.end_child()
+                self.start_child()
+                connection = self.connect()
+                connection.sendall(get("/large"))
+                gevent.sleep(READ_DELAY_S)
+                self.stop_child()
+                gevent.sleep(ARRIVAL_S + delay_s)
+                connection.sendall(get("/late"))
+                self.child.wait(LINGER_S + 5.0)
+                self.assert_whole(self.read_to_end(connection))
+
     def test_closing_response_is_cut_by_the_end_of_the_process(self):
         """Guards against a process that ends while a caller reads the closing response."""
         self.assert_whole_after_process_end(get("/large", "Connection: close"))
--- a/packages/daemon/tests/test_crossing_requests.py
+++ b/packages/daemon/tests/test_crossing_requests.py
@@ -145,23 +145,32 @@
 
     def test_request_behind_the_end_is_read(self):
         """Guards against a request that its caller may not repeat, as it was read and dropped."""
-        for is_stop in (True, False):
-            with self.subTest(is_stop=is_stop):
+        closed = []
+        self.server.on_closed = closed.append
+        for cause in (CloseCause.STOP, CloseCause.IDLE_TIMEOUT):
+            with self.subTest(cause=cause):
                 self.server.draining = False
                 self.use_idle_time(ends.IDLE_TIME_S)
                 connection = self.kept_connection()
-                if is_stop:
+                if cause is CloseCause.STOP:
                     self.begin_stop()
-                else:
-                    gevent.sleep(ends.IDLE_TIME_S + ends.ARRIVAL_S)
+                self.wait_until(lambda: self.server.ending_connections, 2 * ends.IDLE_TIME_S)
                 [socket_at_server] = self.server.ending_connections
-                request = ends.get("/late")
+                request = ends.get("/late", f"{ID_HEADER}: late")
                 connection.sendall(request)
-                gevent.sleep(ends.LINGER_S / 2)
+                gevent.sleep(3 * ends.ARRIVAL_S)
                 unread = fcntl.ioctl(socket_at_server.fileno(), termios.FIONREAD, bytes(4))
                 self.assertEqual(int.from_bytes(unread, sys.byteorder), len(request))
                 connection.close()
-                self.wait_until(lambda: not self.server.ending_connections, ends.LINGER_S)
+                # The end of its caller is seen behind the input.
+                self.wait_until(lambda: closed, ends.LINGER_S / 2)
+                [found] = closed
+                closed.clear()
+                self.assertEqual((found.cause, found.discarded.is_read), (cause, False))
+                self.assertLess(found.discarded.first_after_s, ends.LINGER_S / 2)
+                self.assertEqual(
+                    [item.request_id for item in found.discarded.requests(ID_HEADER)], ["late"]
+                )
 
 
 class DelayedEndTest(CrossingCase):
