--- a/packages/core/tests/test_news_at_size.py
+++ b/packages/core/tests/test_news_at_size.py
@@ -13,8 +13,9 @@
 DATA_CENTRE_COUNT = 4
 LINK_MBIT_PER_S = 10.0
 SPREAD_S = 0.3
-# Requests and responses need the rest of a link.
-LINK_SHARE_MAX = {132: 0.25}
+# Requests and responses need the rest of a link: three quarters at the size of today's deployments,
+# and half at the size to design for.
+LINK_SHARE_MAX = {132: 0.25, 680: 0.5}
 # A tenant usually sends its rate divided by 1.6, and homes need some of the rest for bursts.
 LENT_SHARE_MIN = 0.9
 CLOCK_MS = 1_800_000_000_000
@@ -55,7 +56,7 @@
             for peer in instance.table.peers
             if not instance.table.is_live(peer, length_s)
         ]
-        self.assertEqual(silent, [])
+        self.assertEqual(len(silent), 0, silent[:3])
         most_bytes = LINK_SHARE_MAX[size] * fleet.bytes_per_s * length_s
         for links in (fleet.out_links, fleet.in_links):
             self.assertLessEqual(max(link.byte_count for link in links.values()), most_bytes)
@@ -81,6 +82,10 @@
         dropped_count = sum(link.dropped_count for link in fleet.out_links.values())
         self.assertEqual(dropped_count, 0)
 
+    def test_speakers_of_a_large_fleet_fill_their_links(self):
+        """Guards against two instances of a group that pass on all states to all the others."""
+        self.play(680, 2.0)
+
     def test_states_grow_with_returned_peers(self):
         """Guards against a loop: lost messages, returned peers, larger messages, lost messages.
 
--- a/packages/daemon/src/tanagerreachd/_http_server.py
+++ b/packages/daemon/src/tanagerreachd/_http_server.py
@@ -686,7 +686,7 @@
         Callers get at most ``LINGER_S`` to close, since the end of the process would reset a
         connection on which a further request arrives.
 
-        :param ends_s: monotonic time at which the wait ends in any case.
+        :param ends_s: monotonic time at which the wait ends, but for the last responses.
         :param end_requests: called repeatedly from that time on if requests are not finished, to
             have responses of this instance for some of them; the wait then goes on for
             ``LAST_RESPONSES_S``.
--- a/packages/daemon/tests/test_end_of_stop.py
+++ b/packages/daemon/tests/test_end_of_stop.py
@@ -179,7 +179,7 @@
             gevent.sleep(POLL_S)
 
     def stop(self):
-        """Stop the instance up to the moment at which its process ends; return the time taken."""
+        """Stop the instance, up to the moment at which its process ends."""
         gateway = _instance.Gateway.__new__(_instance.Gateway)
         gateway._settings = mock.Mock(stop_limit_s=STOP_LIMIT_S)
         gateway._application, gateway._callers = self.application, self.server
